--- a/shedsill/_catalogue.py
+++ b/shedsill/_catalogue.py
@@ -36,6 +36,7 @@
     NODE_STARTED = Entry(100, Level.INFO, "node started")
     NODE_STOPPING = Entry(101, Level.INFO, "planned stop began")
     NODE_STOPPED = Entry(102, Level.INFO, "planned stop is complete")
+    INVARIANT_BROKEN = Entry(103, Level.ERROR, "an invariant does not hold; stopping")
     MEMBER_JOINED = Entry(110, Level.INFO, "a node was heard of")
     MEMBER_SILENT = Entry(111, Level.WARNING, "a node has fallen silent")
 
@@ -45,6 +46,7 @@
     FLOW_PASSED = Entry(203, Level.DEBUG, "new flow passed on to the alternate")
     FLOW_REFUSED = Entry(204, Level.INFO, "new flow refused: no room")
     FLOW_LIMITED = Entry(205, Level.INFO, "new flow dropped by a rate limit")
+    FLOW_FAILED = Entry(212, Level.WARNING, "QUIC could not process a datagram")
     FLOW_RETRIED = Entry(206, Level.INFO, "address validation asked for by Retry")
     FLOW_OPENED = Entry(207, Level.DEBUG, "flow opened")
     FLOW_CLOSED = Entry(208, Level.DEBUG, "flow closed")
--- a/shedsill/_cli/quickstart.py
+++ b/shedsill/_cli/quickstart.py
@@ -1,11 +1,140 @@
-"""``shedsill quickstart``: everything in one process, on loopback."""
+"""``shedsill quickstart``: everything in one process, on loopback.
+
+It applies a configuration, serves a claim and a stream through two balancers
+and three agents, drains an upstream under the stream, and says what happened.
+"""
 
 from __future__ import annotations
 
+import asyncio
+import sys
+
 import click
 
+from shedsill._cli.exits import EXIT_FAILED, EXIT_OK
+from shedsill._cli.operator import Written, write_document
+from shedsill._resources import parse_documents
+from shedsill._runtime.notes import configure_logging
+
+SERVICE = "dispatcher"
+STREAM_PATH = "/stream?interval=0.05"
+SETTLE_TIMEOUT = 20.0
+STREAM_OCTETS = 60
+
 
 @click.command()
-def quickstart() -> None:
-    """Run the whole path in one process."""
-    raise click.ClickException("not built yet")
+@click.option("--serve", is_flag=True, help="Stay up and print what to try.")
+@click.option(
+    "--log-level",
+    type=click.Choice(["TRACE", "DEBUG", "INFO", "WARNING", "ERROR"]),
+    default="WARNING",
+    show_default=True,
+)
+def quickstart(serve: bool, log_level: str) -> None:
+    """Run the whole path in one process, with stand-ins around it."""
+    configure_logging(level=log_level, as_json=False)
+    sys.exit(asyncio.run(_run(serve=serve, log_level=log_level)))
+
+
+async def _run(*, serve: bool, log_level: str) -> int:
+    # The stand-ins are for tests and this command alone; a daemon never loads them.
+    from shedsill.testing.documents import make_layout
+    from shedsill.testing.embedded import Embedded
+
+    system = Embedded((make_layout(SERVICE, count=3, slots=3),), log_level=log_level)
+    await system.start()
+    try:
+        await _apply(system)
+        if serve:
+            return await _serve(system)
+        return await _show(system)
+    finally:
+        await system.stop()
+
+
+async def _apply(system) -> None:
+    platform = system.make_platform_client()
+    for document in parse_documents(system.documents):
+        result = await write_document(platform, document)
+        kind = type(document.resource).__name__
+        assert isinstance(result, Written), result
+        click.echo(f"applied   {kind} {document.resource.name}")
+    await system.wait_ready()
+    generation = next(iter(system.balancers.values())).get_status()["generation"]
+    click.echo(f"accepted  generation {generation}, in force on every node")
+
+
+async def _show(system) -> int:
+    from shedsill.testing.client import open_client, wait_for_body
+
+    front = system.fronts[SERVICE]
+    async with open_client(front) as client:
+        stream_id, stream = client.open("GET", STREAM_PATH)
+        claim = await client.request("POST", "/claim", body=b"job-1")
+        click.echo(f"claim     {claim.status} {claim.body.decode().strip()}")
+        key = {"idempotency-key": claim.ticket}
+        first = await client.request("POST", "/claim", body=b"job-2", headers=key)
+        again = await client.request("POST", "/claim", body=b"job-2", headers=key)
+        same = first.body == again.body
+        click.echo(f"repeat    same answer, run once: {same}")
+        await wait_for_body(stream, STREAM_OCTETS)
+        name = stream.body.split()[0].decode()
+        drained = await _drain(system, name)
+        before = len(stream.body)
+        await wait_for_body(stream, before + STREAM_OCTETS)
+        refused = await client.request("POST", "/claim", body=b"job-3")
+        click.echo(
+            f"drain     {name}: stream still open: {not stream.cut}; "
+            f"new claim on its connection: {refused.status} {refused.outcome}"
+        )
+        survived = not stream.cut
+        client.cancel(stream_id)
+    async with open_client(front) as client:
+        moved = await client.request("POST", "/claim", body=b"job-3")
+        click.echo(f"moved     {moved.status} {moved.body.decode().strip()}")
+    done = await _wait_drained(system, name)
+    click.echo(f"drained   {name}: {done}")
+    good = same and drained and done and survived and moved.status == 200
+    return EXIT_OK if good else EXIT_FAILED
+
+
+async def _drain(system, name: str) -> bool:
+    text = f"{{kind: Change, name: drain-{name}, spec: "
+    text += f"{{action: drain, target: {name}}}}}"
+    document = parse_documents(text)[0]
+    await write_document(system.make_platform_client(), document)
+    return await _wait_for(system, name, "leaving")
+
+
+async def _wait_drained(system, name: str) -> bool:
+    return await _wait_for(system, name, "drained")
+
+
+async def _wait_for(system, name: str, word: str) -> bool:
+    try:
+        async with asyncio.timeout(SETTLE_TIMEOUT):
+            while not system.agents[name].get_status()[word]:
+                await asyncio.sleep(0.05)
+    except TimeoutError:
+        return False
+    return True
+
+
+async def _serve(system) -> int:
+    front = system.fronts[SERVICE]
+    click.echo(f"service   {SERVICE} at {front} (HTTP/3)")
+    click.echo(f"platform  {system.platform_url}")
+    for name, balancer in system.balancers.items():
+        click.echo(f"control   {name} at http://{balancer.control.address}/status")
+    click.echo("certificate (self-signed, for service.example):")
+    click.echo(system.certificate.certificate.rstrip())
+    click.echo("try:")
+    click.echo(f"  python -m shedsill.testing.request POST {front} /claim job-1")
+    click.echo(f"  shedsill status --platform {system.platform_url}")
+    click.echo("ctrl-c ends it", nl=True)
+    sys.stdout.flush()
+    try:
+        await asyncio.Event().wait()
+    except asyncio.CancelledError:
+        return EXIT_OK
+    return EXIT_OK
--- a/shedsill/_runtime/agent.py
+++ b/shedsill/_runtime/agent.py
@@ -15,6 +15,7 @@
 from shedsill._addresses import Address
 from shedsill._admission import Admission, AdmissionSettings
 from shedsill._agent_state import AgentSettings, AgentState, get_load
+from shedsill._catalogue import LogEvent
 from shedsill._effects import (
     AbortUpstream,
     AnnounceDrain,
@@ -27,6 +28,7 @@
     HandOver,
     Header,
     MoveReplyPath,
+    Note,
     PassRequest,
     RecordedAnswer,
     Refuse,
@@ -250,6 +252,7 @@
             arrived=self._announce,
             cancelled=self._cancel,
             lost=self._reset_lost,
+            failed=self._note_flow_failure,
         )
         self.flows = FlowTable(minter, hooks)
         await self._upstream.start()
@@ -319,6 +322,10 @@
         if packet is not None:
             self.flows.reset(caller, packet.cid, len(datagram), balancer)
 
+    def _note_flow_failure(self, flow: int, error: Exception) -> None:
+        fields = {"flow": flow, "error": f"{type(error).__name__}: {error}"}
+        self.write_note(Note(event=LogEvent.FLOW_FAILED, fields=fields))
+
     def carry_out(self, effect: Effect) -> None:
         """Carry out an effect."""
         match effect:
--- a/shedsill/_runtime/driver.py
+++ b/shedsill/_runtime/driver.py
@@ -143,13 +143,19 @@
                 )
                 for effect in effects:
                     self.carry_out(effect)
-        except InvariantError as error:
-            self.failure = error
-            self.exited.set()
+        except Exception as error:
+            self._fail(error)
             raise
         finally:
             self._dispatching = False
 
+    def _fail(self, error: Exception) -> None:
+        """Stop the process: whatever escapes a reducer breaks an invariant."""
+        self.failure = error
+        fields = {"error": f"{type(error).__name__}: {error}"}
+        self.write_note(Note(event=LogEvent.INVARIANT_BROKEN, fields=fields))
+        self.exited.set()
+
     def receive_frame(self, data: bytes, source: Address) -> None:
         """Check, decode and dispatch one frame."""
         try:
--- a/shedsill/_runtime/flows.py
+++ b/shedsill/_runtime/flows.py
@@ -78,6 +78,8 @@
         An exchange and whether its caller said so.
     lost : callable
         A packet for no flow: caller, datagram, balancer.
+    failed : callable
+        A flow's number and what QUIC raised on one of its datagrams.
     """
 
     send: Callable[[Address, bytes, Address], None]
@@ -86,6 +88,7 @@
     arrived: Callable[[Exchange], None]
     cancelled: Callable[[Exchange, bool], None]
     lost: Callable[[Address, bytes, Address], None]
+    failed: Callable[[int, Exception], None]
 
 
 class FlowTable:
@@ -113,9 +116,14 @@
         if flow is None:
             return
         flow.reply_to = effect.reply_to
-        flow.quic.receive_datagram(
-            effect.datagram, effect.caller.pair, now=self._loop.time()
-        )
+        try:
+            flow.quic.receive_datagram(
+                effect.datagram, effect.caller.pair, now=self._loop.time()
+            )
+        except Exception as error:  # one caller's packet must not end the agent
+            self._hooks.failed(flow.number, error)
+            self._close(flow)
+            return
         self._process(flow)
 
     def _open(self, effect: Deliver, header) -> Flow | None:
--- a/shedsill/testing/processes.py
+++ b/shedsill/testing/processes.py
@@ -9,7 +9,6 @@
 import contextlib
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -22,27 +21,13 @@
 from shedsill._addresses import Address
 from shedsill.testing.certificates import TestCertificate, make_certificate
 from shedsill.testing.documents import ServiceLayout, make_documents
+from shedsill.testing.ports import find_ports
 
 SECRET = "5e" * 32
 START_TIMEOUT = 30.0
 STOP_TIMEOUT = 15.0
 
 
-def find_ports(count: int) -> list[int]:
-    """Return free loopback ports, for UDP and TCP alike."""
-    with contextlib.ExitStack() as stack:
-        ports = []
-        while len(ports) < count:
-            tcp = stack.enter_context(socket.socket())
-            tcp.bind(("127.0.0.1", 0))
-            port = tcp.getsockname()[1]
-            udp = stack.enter_context(socket.socket(type=socket.SOCK_DGRAM))
-            with contextlib.suppress(OSError):
-                udp.bind(("127.0.0.1", port))
-                ports.append(port)
-        return ports
-
-
 @define
 class Process:
     """One started process."""
