--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: ``python -m benchmarks`` prints a table and writes JSON."""
--- a/shedsill/_acceptance.py
+++ b/shedsill/_acceptance.py
@@ -180,6 +180,10 @@
     base = _read_stored(stored)
     if base is None or is_newer(node.configuration, base):
         base = node.configuration
+    if _has_lost_resources(base, listing):
+        fields = {"generation": base.generation}
+        note = Note(event=LogEvent.RESOURCES_MISSING, fields=fields)
+        return evolve(acceptor, current=True), [note]
     inputs = _make_inputs(acceptor, node, listing, base, now)
     acceptance = accept(base, inputs)
     wanted = acceptance.configuration
@@ -190,6 +194,15 @@
     return evolve(acceptor, current=True), effects
 
 
+def _has_lost_resources(base: Configuration, listing: Listing) -> bool:
+    """Whether the platform holds no service at all although some are in force.
+
+    A platform that came back empty must not drain every upstream.
+    """
+    names = {item.kind for item in listing.objects}
+    return bool(base.services) and "service" not in names
+
+
 def read_accepted(listing: Listing) -> Configuration | None:
     """Return the accepted configuration that a listing holds, if it has one."""
     for item in listing.objects:
--- a/shedsill/_catalogue.py
+++ b/shedsill/_catalogue.py
@@ -86,6 +86,9 @@
     CONFIGURATION_PULLED = Entry(502, Level.DEBUG, "configuration asked of a peer")
     CONFIGURATION_ACCEPTED = Entry(510, Level.INFO, "configuration accepted")
     RESOURCE_REJECTED = Entry(511, Level.WARNING, "resource rejected")
+    RESOURCES_MISSING = Entry(
+        512, Level.ERROR, "platform holds no service; keeping what is in force"
+    )
     LEASE_TAKEN = Entry(520, Level.INFO, "lease taken")
     LEASE_LOST = Entry(521, Level.INFO, "lease lost")
     PLATFORM_FAILED = Entry(530, Level.WARNING, "platform gave no answer")
--- a/shedsill/_runtime/notes.py
+++ b/shedsill/_runtime/notes.py
@@ -88,6 +88,10 @@
         bound = logger.bind(event=entry.number, node=self.node, fields=note.fields)
         bound.log(entry.level.value, entry.text)
 
+    def count(self, event: LogEvent) -> int:
+        """Return how often an event has happened."""
+        return int(self._counters[event]._value.get())
+
     def _pass_gate(self, event: LogEvent, now: float) -> bool:
         gate = self._gates.setdefault(event, _Gate())
         gate.seen += 1
