--- a/shedsill/_addresses.py
+++ b/shedsill/_addresses.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import ipaddress
 
 from attrs import frozen
@@ -9,6 +10,7 @@
 from shedsill.errors import DocumentError
 
 MAX_PORT = 65_535
+CACHED_ADDRESSES = 65_536
 
 
 @frozen(order=True)
@@ -36,6 +38,7 @@
         return (self.host, self.port)
 
 
+@functools.lru_cache(maxsize=CACHED_ADDRESSES)
 def parse_address(text: str, *, field: str = "address") -> Address:
     """Read ``IP:PORT``.
 
--- a/shedsill/_keys.py
+++ b/shedsill/_keys.py
@@ -20,7 +20,12 @@
 from attrs import field, frozen
 from cryptography.exceptions import InvalidTag
 from cryptography.hazmat.primitives import hashes
-from cryptography.hazmat.primitives.ciphers import Cipher, algorithms, modes
+from cryptography.hazmat.primitives.ciphers import (
+    Cipher,
+    CipherContext,
+    algorithms,
+    modes,
+)
 from cryptography.hazmat.primitives.ciphers.aead import AESSIV
 from cryptography.hazmat.primitives.kdf.hkdf import HKDF
 
@@ -117,9 +122,9 @@
         """Make a connection ID; `nonce` has 6 octets."""
         slot = epoch % EPOCH_SLOTS
         block = _BLOCK.pack(route.upstream, route.service, route.incarnation, nonce)
-        cipher = _make_cipher(self.secrets[0], slot)
+        encryptor = _make_cipher(self.secrets[0], slot).encryptor()
         first = (slot << EPOCH_SHIFT) | BLOCK_LENGTH
-        return bytes((first,)) + cipher.encryptor().update(block)
+        return bytes((first,)) + encryptor.update(block)
 
     def decode(self, cid: bytes) -> tuple[Route, ...]:
         """Return the routes that a connection ID may carry, likeliest first.
@@ -135,7 +140,7 @@
         return tuple(self._decode(secret, slot, cid) for secret in self.secrets)
 
     def _decode(self, secret: bytes, slot: int, cid: bytes) -> Route:
-        block = _make_cipher(secret, slot).decryptor().update(cid[1:])
+        block = _make_decryptor(secret, slot).update(cid[1:])
         upstream, service, incarnation, _nonce = _BLOCK.unpack(block)
         return Route(upstream, service, incarnation)
 
@@ -191,6 +196,12 @@
     return Cipher(algorithms.AES(key), modes.ECB())
 
 
+@functools.lru_cache(maxsize=64)
+def _make_decryptor(secret: bytes, slot: int) -> CipherContext:
+    """Return a context to be kept: in ECB mode no block depends on another."""
+    return _make_cipher(secret, slot).decryptor()
+
+
 def _make_mac(secret: bytes, message: bytes) -> bytes:
     key = _derive(secret, b"frame", 32)
     return hashlib.blake2b(message, key=key, digest_size=MAC_LENGTH).digest()
--- a/shedsill/_runtime/notes.py
+++ b/shedsill/_runtime/notes.py
@@ -64,10 +64,10 @@
     registry: CollectorRegistry = field(factory=CollectorRegistry)
     _gates: dict[LogEvent, _Gate] = field(factory=dict)
     _counters: dict[LogEvent, Any] = field(factory=dict)
-    _threshold: int = 0
+    _written: set[LogEvent] = field(factory=set)
 
     def __attrs_post_init__(self) -> None:
-        self._threshold = logger.level(self.level).no
+        threshold = logger.level(self.level).no
         counter = Counter(
             "shedsill_events",
             "Events by number; see the catalogue",
@@ -76,13 +76,15 @@
         )
         for event in LogEvent:
             self._counters[event] = counter.labels(event=str(event.value.number))
+            if logger.level(event.value.level.value).no >= threshold:
+                self._written.add(event)
 
     def write(self, note: Note, now: float) -> None:
         """Count a note and write its line, where it is wanted."""
         self._counters[note.event].inc()
-        entry = note.event.value
-        if logger.level(entry.level.value).no < self._threshold:
+        if note.event not in self._written:
             return
+        entry = note.event.value
         if not self._pass_gate(note.event, now):
             return
         bound = logger.bind(event=entry.number, node=self.node, fields=note.fields)
