--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -7,7 +7,7 @@
 
 import click
 
-from benchmarks import datapath
+from benchmarks import agents, datapath
 from benchmarks.results import print_table, write_json
 
 
@@ -18,6 +18,8 @@
     results = datapath.measure_reducer()
     results += datapath.measure_flow_state()
     results += asyncio.run(datapath.measure_sockets())
+    results += asyncio.run(agents.measure_connections())
+    results += agents.measure_latency()
     print_table(results)
     if output is not None:
         write_json(results, output)
