--- /dev/null
+++ b/properties/test_world.py
@@ -0,0 +1,317 @@
+"""Stateful fuzzing of the real reducers against the oracle of `World`.
+
+CI runs a fixed number of seeded examples.  A longer run, which prints how many
+steps it did:
+
+    SHEDSILL_FUZZ_EXAMPLES=2000 python -m pytest -s properties/test_world.py
+"""
+
+from __future__ import annotations
+
+import os
+
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    precondition,
+    rule,
+)
+
+from shedsill._effects import RequestOutcome
+from shedsill._resources import Action, Change, Upstream, UpstreamSet
+from shedsill.testing.world import CallerFlow, OracleError, World
+
+EXAMPLES = int(os.environ.get("SHEDSILL_FUZZ_EXAMPLES", "60"))
+STEPS = int(os.environ.get("SHEDSILL_FUZZ_STEPS", "60"))
+BALANCERS = ("b1", "b2", "b3")
+UPSTREAMS = {"dispatcher": ("d1", "d2", "d3"), "intake": ("i1", "i2")}
+SLOTS = 2
+PHASES = [Phase.generate] if "SHEDSILL_FUZZ_EXAMPLES" in os.environ else list(Phase)
+indexes = st.integers(0, 1_000_000)
+totals = {"steps": 0}
+
+
+class WorldMachine(RuleBasedStateMachine):
+    """Callers, operators and faults in any order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = World()
+        self.tickets: list[tuple[str, str]] = []
+        self.works: dict[str, tuple[str, str]] = {}
+        self.count = 0
+
+    @initialize(seed=indexes)
+    def build(self, seed: int) -> None:
+        self.world = World(seed=seed)
+        for name in BALANCERS:
+            self.world.start_balancer(name)
+        for service, upstreams in UPSTREAMS.items():
+            self.world.add_service(service, upstreams, slots=SLOTS)
+        self.world.settle(4.0)
+        for service in UPSTREAMS:
+            flow = self.world.open_flow(service)
+            self.world.settle(0.1)
+            assert flow.cid
+            self._fetch_ticket(flow)
+
+    def _fetch_ticket(self, flow: CallerFlow) -> None:
+        attempt = self.world.send_request(flow, self._name_work(), path="/read")
+        self.world.settle()
+        for run in self.world.list_running():
+            self.world.finish(run)
+        self.world.settle()
+        self._collect(attempt)
+
+    def _name_work(self) -> str:
+        self.count += 1
+        return f"work-{self.count}"
+
+    def _collect(self, attempt) -> None:
+        if attempt.ticket:
+            self.tickets.append((attempt.flow.service, attempt.ticket))
+
+    def _collect_all(self) -> None:
+        known = {ticket for _service, ticket in self.tickets}
+        for attempt in self.world.attempts[-20:]:
+            if attempt.ticket and attempt.ticket not in known:
+                self._collect(attempt)
+
+    def _open_flows(self, service: str | None = None) -> list[CallerFlow]:
+        return [
+            flow
+            for flow in self.world.flows
+            if flow.cid and not flow.broken and service in (None, flow.service)
+        ]
+
+    # Callers.
+
+    @rule(service=st.sampled_from(sorted(UPSTREAMS)))
+    def open_flow(self, service: str) -> None:
+        self._count()
+        self.world.open_flow(service)
+
+    @rule(index=indexes)
+    def send_plain(self, index: int) -> None:
+        self._count()
+        flows = self._open_flows()
+        if flows:
+            flow = flows[index % len(flows)]
+            self.world.send_request(flow, self._name_work())
+
+    @rule(index=indexes)
+    def send_read(self, index: int) -> None:
+        self._count()
+        flows = self._open_flows()
+        if flows:
+            flow = flows[index % len(flows)]
+            self.world.send_request(flow, self._name_work(), path="/read")
+
+    @rule(index=indexes)
+    def send_with_ticket(self, index: int) -> None:
+        self._count()
+        self._collect_all()
+        if not self.tickets:
+            return
+        service, ticket = self.tickets.pop(index % len(self.tickets))
+        flows = self._open_flows(service)
+        if flows:
+            work = self._name_work()
+            self.works[work] = (service, ticket)
+            flow = flows[index % len(flows)]
+            self.world.send_request(flow, work, key=ticket)
+
+    @rule(index=indexes)
+    def repeat(self, index: int) -> None:
+        self._count()
+        if not self.works:
+            return
+        work = sorted(self.works)[index % len(self.works)]
+        service, ticket = self.works[work]
+        flows = self._open_flows(service)
+        if flows:
+            flow = flows[index % len(flows)]
+            self.world.send_request(flow, work, key=ticket)
+
+    @rule(index=indexes)
+    def move_to_new_ticket(self, index: int) -> None:
+        """After a refusal the same work goes on under the ticket that came with it."""
+        self._count()
+        refused = [
+            attempt
+            for attempt in self.world.attempts
+            if attempt.outcome == RequestOutcome.NOT_RUN
+            and attempt.ticket
+            and self.works.get(attempt.work, ("", ""))[1] == attempt.key
+        ]
+        if not refused:
+            return
+        attempt = refused[index % len(refused)]
+        service = attempt.flow.service
+        flows = self._open_flows(service)
+        if flows:
+            self.works[attempt.work] = (service, attempt.ticket)
+            flow = flows[index % len(flows)]
+            self.world.send_request(flow, attempt.work, key=attempt.ticket)
+
+    # The network and time.
+
+    @rule(choices=st.lists(indexes, min_size=1, max_size=12))
+    def deliver(self, choices: list[int]) -> None:
+        self._count()
+        for choice in choices:
+            if self.world.messages:
+                self.world.deliver(choice % len(self.world.messages))
+
+    @rule(index=indexes)
+    def lose(self, index: int) -> None:
+        self._count()
+        if self.world.messages:
+            self.world.lose(index % len(self.world.messages))
+
+    @rule(index=indexes)
+    def duplicate(self, index: int) -> None:
+        self._count()
+        if self.world.messages:
+            self.world.duplicate(index % len(self.world.messages))
+
+    @rule(seconds=st.sampled_from([0.05, 0.3, 1.0, 3.0, 8.0]))
+    def pass_time(self, seconds: float) -> None:
+        self._count()
+        self.world.advance(seconds)
+
+    @rule(seconds=st.sampled_from([0.0, 0.5, 2.0]))
+    def settle(self, seconds: float) -> None:
+        self._count()
+        self.world.retransmit()
+        self.world.settle(seconds)
+
+    # Upstreams.
+
+    @rule(index=indexes, how=st.sampled_from(["done", "done", "cut", "shed"]))
+    def end_run(self, index: int, how: str) -> None:
+        self._count()
+        running = self.world.list_running()
+        if running:
+            run = running[index % len(running)]
+            self.world.finish(run, answered=how != "cut", shed=how == "shed")
+
+    # Processes.
+
+    @rule(name=st.sampled_from(sorted([*BALANCERS, "d1", "d2", "d3", "i1", "i2"])))
+    def kill_or_restart(self, name: str) -> None:
+        self._count()
+        if not self.world.nodes[name].exited:
+            self.world.kill(name)
+        elif name in BALANCERS:
+            self.world.start_balancer(name)
+        else:
+            self.world.start_agent(name)
+
+    @rule(name=st.sampled_from(sorted([*BALANCERS, "d1", "d2", "d3", "i1", "i2"])))
+    def freeze_or_thaw(self, name: str) -> None:
+        self._count()
+        if self.world.nodes[name].frozen:
+            self.world.thaw(name)
+        else:
+            self.world.freeze(name)
+
+    @rule(name=st.sampled_from(sorted([*BALANCERS, "d1", "d2", "i1"])))
+    def stop(self, name: str) -> None:
+        self._count()
+        self.world.stop(name)
+
+    # The platform and operators.
+
+    @rule(down=st.booleans(), lost=st.integers(0, 2), stale=st.integers(0, 1))
+    def disturb_platform(self, down: bool, lost: int, stale: int) -> None:
+        self._count()
+        self.world.platform_down = down
+        self.world.lose_answers = lost
+        self.world.stale_lists = stale
+
+    @rule(name=st.sampled_from(["d1", "d2", "i1"]), begin=st.booleans())
+    def drain_or_undrain(self, name: str, begin: bool) -> None:
+        self._count()
+        if begin:
+            change = Change(name=f"drain-{name}", action=Action.DRAIN, target=name)
+            self.world.apply(change)
+        else:
+            self.world.delete("change", f"drain-{name}")
+
+    @rule(service=st.sampled_from(sorted(UPSTREAMS)), count=st.integers(1, 3))
+    def resize(self, service: str, count: int) -> None:
+        self._count()
+        members = tuple(
+            Upstream(name=name, address=str(self.world.nodes[name].address))
+            for name in UPSTREAMS[service][:count]
+        )
+        group = UpstreamSet(name=service, service=service, upstreams=members)
+        self.world.apply(group)
+
+    @precondition(lambda self: self.count < 200)
+    @rule()
+    def rotate_keys(self) -> None:
+        self._count()
+        name = f"rotate-{self.count}"
+        self.world.apply(Change(name=name, action=Action.ROTATE_KEYS))
+
+    def _count(self) -> None:
+        totals["steps"] += 1
+
+    def teardown(self) -> None:
+        """Heal everything: each request has an answer, and all nodes agree."""
+        if not self.world.nodes:
+            return
+        world = self.world
+        world.platform_down = False
+        world.lose_answers = world.stale_lists = 0
+        for name, process in list(world.nodes.items()):
+            if process.frozen:
+                world.thaw(name)
+            if process.exited and name in BALANCERS:
+                world.start_balancer(name)
+            elif process.exited:
+                world.start_agent(name)
+        for _ in range(12):
+            world.retransmit()
+            world.settle(1.0, step=0.25)
+            for run in world.list_running():
+                if run.attempt.path != "/stream":
+                    world.finish(run)
+        world.settle(40.0, step=0.25)
+        for _ in range(4):
+            world.retransmit()
+            world.settle(0.2)
+        for attempt in world.attempts:
+            flow = attempt.flow
+            if attempt.outcome is None and not flow.broken:
+                raise OracleError(f"{attempt.work} was lost without an answer")
+        generations = {
+            process.state.node.configuration.generation
+            for process in world.nodes.values()
+            if not process.exited
+        }
+        if len(generations) != 1:
+            raise OracleError(f"nodes are at generations {generations}")
+
+
+WorldMachine.TestCase.settings = settings(
+    max_examples=EXAMPLES,
+    stateful_step_count=STEPS,
+    deadline=None,
+    derandomize="SHEDSILL_FUZZ_EXAMPLES" not in os.environ,
+    phases=PHASES,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+class TestWorld(WorldMachine.TestCase):
+    """Runs the machine under pytest."""
+
+    @classmethod
+    def tearDownClass(cls) -> None:
+        print(f"fuzzer steps: {totals['steps']}")
--- /dev/null
+++ b/shedsill/testing/world.py
@@ -0,0 +1,1047 @@
+"""The real reducers over a queue of effects in memory, with an oracle.
+
+There are no sockets and no clock: a test or the fuzzer chooses which message is
+delivered, lost or doubled next, and how far time goes.  QUIC is stood in for by
+its promises: each request reaches the agent at most once per flow, and what was
+lost is sent again on demand.  The oracle checks the upstreams' journals and the
+callers' answers after every step.
+"""
+
+from __future__ import annotations
+
+import itertools
+import random
+from collections.abc import Iterable
+
+from attrs import define, evolve, field, frozen
+
+from shedsill import _effects as effects
+from shedsill import _events as events
+from shedsill._acceptance import Acceptor
+from shedsill._addresses import Address
+from shedsill._admission import Admission, AdmissionSettings
+from shedsill._agent_state import AgentSettings, AgentState, get_load
+from shedsill._balancer import BalancerState
+from shedsill._configuration import Configuration
+from shedsill._effects import Effect, Header, RecordedAnswer, RequestOutcome
+from shedsill._events import Event
+from shedsill._frames import Frame, ToCaller
+from shedsill._keys import CONNECTION_ID_LENGTH, KeyRing, Route
+from shedsill._node import Node
+from shedsill._outcomes import Transfer
+from shedsill._packets import MIN_INITIAL_SIZE, read_packet
+from shedsill._peers import Handover as HandoverMessage
+from shedsill._peers import decode_handover, encode_handover
+from shedsill._reducer import reduce
+from shedsill._resources import (
+    RequestClass,
+    RequestKind,
+    Resource,
+    Service,
+    Upstream,
+    UpstreamSet,
+    encode_spec,
+    get_kind,
+)
+from shedsill.coordination.lease import Lease
+from shedsill.coordination.platform import (
+    Call,
+    Changed,
+    Delete,
+    Listing,
+    Machine,
+    MemoryPlatform,
+    Put,
+    Unavailable,
+    Watch,
+)
+
+KEYS = KeyRing((bytes(range(32)),))
+TICK = 0.05
+MAX_SETTLE_STEPS = 20_000
+OUTCOME_HEADER = "shedsill-outcome"
+CLASSES = (
+    RequestClass(name="claim", method="POST", path="/claim", deadline=5.0),
+    RequestClass(name="read", method="GET", path="/read", repeatable=True),
+    RequestClass(name="stream", method="GET", path="/stream", kind=RequestKind.STREAM),
+)
+
+
+class OracleError(AssertionError):
+    """A promise of the system does not hold."""
+
+
+@define(eq=False)
+class Attempt:
+    """One sending of a request by a caller.
+
+    Attributes
+    ----------
+    work : str
+        The piece of work; several attempts may ask for the same one.
+    sent : float
+        Time of sending.
+    """
+
+    number: int
+    flow: CallerFlow
+    work: str
+    path: str
+    key: str
+    sent: float
+    arrived: bool = False
+    outcome: RequestOutcome | None = None
+    answered: float = 0.0
+    body: bytes = b""
+    ticket: str = ""
+    retry_after: int = 0
+
+
+@define(eq=False)
+class CallerFlow:
+    """A caller's connection."""
+
+    number: int
+    service: str
+    caller: Address
+    first_cid: bytes
+    cid: bytes = b""
+    agent: str = ""
+    broken: bool = False
+    unsent: list[Attempt] = field(factory=list)
+    attempts: list[Attempt] = field(factory=list)
+
+
+@frozen
+class Connected:
+    """The agent's answer to a first packet."""
+
+    flow: CallerFlow
+    cid: bytes
+    agent: str
+
+
+@frozen
+class Answered:
+    """The final answer to an attempt."""
+
+    attempt: Attempt
+    outcome: RequestOutcome
+    body: bytes
+    ticket: str
+    retry_after: int
+
+
+@define(eq=False)
+class AgentFlow:
+    """An agent's side of a connection."""
+
+    number: int
+    caller_flow: CallerFlow
+    cid: bytes
+    reply_to: Address
+    unacknowledged: list[Connected | Answered] = field(factory=list)
+
+
+@define(eq=False)
+class Exchange:
+    """A request at an agent: from a flow, or from a peer's call."""
+
+    number: int
+    attempt: Attempt
+    flow: AgentFlow | None = None
+    peer: PeerCall | None = None
+
+
+@define(eq=False)
+class Run:
+    """One piece of work at an upstream."""
+
+    attempt: Attempt
+    agent: str
+    incarnation: int
+    request: int
+    started: float
+    running: bool = True
+    cancelled: bool = False
+    shed: bool = False
+
+
+@define(eq=False)
+class FakeUpstream:
+    """An upstream with a journal; survives its agent."""
+
+    name: str
+    service: str
+    slots: int
+    journal: list[Run] = field(factory=list)
+    pending_cancels: list[Run] = field(factory=list)
+    lies_idle: bool = False
+
+    def list_running(self) -> list[Run]:
+        """Return the work in slots."""
+        return [r for r in self.journal if r.running and r.attempt.path != "/stream"]
+
+
+@define(eq=False)
+class ProcessFake:
+    """A node's process: its state, and what the runtime would keep."""
+
+    name: str
+    address: Address
+    state: AgentState | BalancerState
+    frozen: bool = False
+    exited: bool = False
+    inbox: list[Event] = field(factory=list)
+    flows: dict[int, AgentFlow] = field(factory=dict)
+    exchanges: dict[int, Exchange] = field(factory=dict)
+    numbers: itertools.count = field(factory=itertools.count)
+    highest_generation: int = 0
+
+
+@define(eq=False)
+class ToBalancer:
+    """A caller's datagram on its way to some balancer."""
+
+    flow: CallerFlow
+    datagram: bytes
+
+
+@define(eq=False)
+class FrameMessage:
+    """A frame between nodes."""
+
+    source: Address
+    destination: Address
+    frame: Frame
+
+
+@define(eq=False)
+class ToCallerMessage:
+    """A datagram on its way to a caller."""
+
+    payload: int
+
+
+@define(eq=False)
+class PlatformMessage:
+    """A call of the platform."""
+
+    node: str
+    incarnation: int
+    purpose: events.Purpose
+    call: Call
+    name: str
+    asked: float
+
+
+@define(eq=False)
+class PullMessage:
+    """A pull of a peer's configuration."""
+
+    node: str
+    peer: Address
+
+
+@define(eq=False)
+class PeerCall:
+    """A request passed to another agent, or its answer on the way back."""
+
+    node: str
+    request: int
+    incarnation: int
+    peer: Address
+    attempt: Attempt
+    answer: Answered | None = None
+    gone: bool = False
+    returning: bool = False
+
+
+@define(eq=False)
+class HandoverCall:
+    """A record on its way to a successor, or the word that it was taken."""
+
+    node: str
+    peer: Address
+    upstream: int
+    transfers: tuple[Transfer, ...]
+    returning: bool = False
+
+
+Message = (
+    ToBalancer
+    | FrameMessage
+    | ToCallerMessage
+    | PlatformMessage
+    | PullMessage
+    | PeerCall
+    | HandoverCall
+)
+DATAGRAMS = (ToBalancer, FrameMessage, ToCallerMessage)
+
+
+@define(eq=False)
+class World:
+    """Everything, and the queue of messages between its parts.
+
+    Attributes
+    ----------
+    messages : list of Message
+        On their way; any may be delivered next.
+    platform_down, lose_answers, stale_lists : bool, int, int
+        Faults of the platform.
+    """
+
+    seed: int = 1
+    now: float = 100.0
+    services: dict[str, int] = field(factory=dict)
+    messages: list[Message] = field(factory=list)
+    nodes: dict[str, ProcessFake] = field(factory=dict)
+    upstreams: dict[str, FakeUpstream] = field(factory=dict)
+    platform: MemoryPlatform = field(factory=MemoryPlatform)
+    platform_down: bool = False
+    lose_answers: int = 0
+    stale_lists: int = 0
+    watches: list[PlatformMessage] = field(factory=list)
+    flows: list[CallerFlow] = field(factory=list)
+    attempts: list[Attempt] = field(factory=list)
+    payloads: list[Connected | Answered] = field(factory=list)
+    accepted: dict[int, Configuration] = field(factory=dict)
+    generator: random.Random = field(factory=random.Random)
+    _old_listing: Listing | None = None
+    _addresses: dict[str, Address] = field(factory=dict)
+    _starts: itertools.count = field(factory=lambda: itertools.count(1))
+
+    def __attrs_post_init__(self) -> None:
+        self.generator = random.Random(self.seed)
+
+    # Building.
+
+    def add_service(self, name: str, upstreams: Iterable[str], *, slots: int) -> None:
+        """Add a service with its upstreams and agents, and write its resources."""
+        number = len(self.services) + 1
+        self.services[name] = number
+        address = f"10.0.0.{number}:443"
+        self.apply(
+            Service(name=name, address=address, slots=slots, queue=6, classes=CLASSES)
+        )
+        members = tuple(
+            Upstream(name=upstream, address=str(self._make_address(upstream)))
+            for upstream in upstreams
+        )
+        for member in members:
+            self.upstreams[member.name] = FakeUpstream(
+                name=member.name, service=name, slots=slots
+            )
+            self.start_agent(member.name)
+        self.apply(UpstreamSet(name=name, service=name, upstreams=members))
+
+    def _make_address(self, name: str) -> Address:
+        fresh = Address("10.1.0.1", 1000 + len(self._addresses))
+        return self._addresses.setdefault(name, fresh)
+
+    def start_balancer(self, name: str) -> None:
+        """Start, or start again, a balancer."""
+        address = self._make_address(name)
+        node = Node(
+            name=name,
+            address=address,
+            balancer=True,
+            incarnation=next(self._starts),
+            seeds=self._list_balancer_addresses(),
+        )
+        lease = Lease(kind="lease", name="acceptor", node=name, time_to_live=3.0)
+        state = BalancerState(node=node, keys=KEYS, acceptor=Acceptor(lease=lease))
+        self.nodes[name] = ProcessFake(name=name, address=address, state=state)
+
+    def start_agent(self, name: str) -> None:
+        """Start, or start again, the agent beside an upstream."""
+        upstream = self.upstreams[name]
+        node = Node(
+            name=name,
+            address=self._make_address(name),
+            balancer=False,
+            incarnation=next(self._starts) * 100,
+            seeds=self._list_balancer_addresses(),
+        )
+        state = AgentState(
+            node=node,
+            keys=KEYS,
+            upstream_name=name,
+            service_name=upstream.service,
+            settings=AgentSettings(slow_start=0.0),
+            admission=Admission(settings=AdmissionSettings(idle_span=0.3)),
+        )
+        self.nodes[name] = ProcessFake(name=name, address=node.address, state=state)
+
+    def _list_balancer_addresses(self) -> tuple[Address, ...]:
+        return tuple(
+            process.address
+            for process in self.nodes.values()
+            if isinstance(process.state, BalancerState)
+        )
+
+    def list_balancers(self) -> list[ProcessFake]:
+        """Return the balancers that run."""
+        return [
+            process
+            for process in self.nodes.values()
+            if isinstance(process.state, BalancerState) and not process.exited
+        ]
+
+    def apply(self, resource: Resource) -> None:
+        """Write a resource as an operator would, over whatever is stored."""
+        kind, name = get_kind(resource), resource.name
+        current = self.platform.objects.get((kind, name))
+        version = current.version if current else 0
+        value = {"spec": encode_spec(resource)}
+        self.platform.apply(Put(kind=kind, name=name, value=value, expected=version))
+
+    def delete(self, kind: str, name: str) -> None:
+        """Delete a resource as an operator would."""
+        current = self.platform.objects.get((kind, name))
+        if current is not None:
+            self.platform.apply(Delete(kind=kind, name=name, expected=current.version))
+
+    def list_machine(self, name: str, *, leaving: bool) -> None:
+        """Put a VM on the platform's list."""
+        others = tuple(m for m in self.platform.machines if m.name != name)
+        self.platform.machines = (*others, Machine(name=name, leaving=leaving))
+
+    # What callers do.
+
+    def open_flow(self, service: str) -> CallerFlow:
+        """Send a caller's first packet."""
+        number = len(self.flows)
+        flow = CallerFlow(
+            number=number,
+            service=service,
+            caller=Address("10.9.0.1", number + 1),
+            first_cid=self.generator.randbytes(8),
+        )
+        self.flows.append(flow)
+        self._send_first(flow)
+        return flow
+
+    def _send_first(self, flow: CallerFlow) -> None:
+        head = bytes([0xC0, 0, 0, 0, 1, 8]) + flow.first_cid + bytes([0, 0])
+        rest = MIN_INITIAL_SIZE - len(head) - 2
+        datagram = head + (0x4000 | rest).to_bytes(2, "big")
+        datagram += flow.number.to_bytes(4, "big") + bytes(rest - 4)
+        self.messages.append(ToBalancer(flow, datagram))
+
+    def send_request(
+        self, flow: CallerFlow, work: str, *, path: str = "/claim", key: str = ""
+    ) -> Attempt:
+        """Send a request on an open flow."""
+        attempt = Attempt(
+            number=len(self.attempts),
+            flow=flow,
+            work=work,
+            path=path,
+            key=key,
+            sent=self.now,
+        )
+        self.attempts.append(attempt)
+        flow.attempts.append(attempt)
+        flow.unsent.append(attempt)
+        self._send_attempt(attempt)
+        return attempt
+
+    def _send_attempt(self, attempt: Attempt) -> None:
+        flow = attempt.flow
+        datagram = bytes([0x40]) + flow.cid + attempt.number.to_bytes(4, "big")
+        self.messages.append(ToBalancer(flow, datagram + bytes(16)))
+
+    def retransmit(self) -> None:
+        """Send again all that has not arrived, in both directions."""
+        for flow in self.flows:
+            if not flow.cid and not flow.broken:
+                self._send_first(flow)
+            for attempt in flow.unsent:
+                if flow.cid and not flow.broken:
+                    self._send_attempt(attempt)
+        for process in self.nodes.values():
+            if process.frozen or process.exited:
+                continue
+            for flow in process.flows.values():
+                for payload in flow.unacknowledged:
+                    self._send_payload(process, flow, payload)
+
+    # Messages.
+
+    def deliver(self, index: int = 0) -> None:
+        """Deliver one message and check the oracle."""
+        message = self.messages.pop(index)
+        match message:
+            case ToBalancer():
+                self._deliver_to_balancer(message)
+            case FrameMessage(source=source, destination=destination, frame=frame):
+                event = events.FrameReceived(frame=frame, source=source, now=self.now)
+                self._dispatch_at(destination, event)
+            case ToCallerMessage(payload=payload):
+                self._deliver_to_caller(self.payloads[payload])
+            case PlatformMessage():
+                self._call_platform(message)
+            case PullMessage():
+                self._pull(message)
+            case PeerCall():
+                self._deliver_peer_call(message)
+            case HandoverCall():
+                self._deliver_handover(message)
+        self.check()
+
+    def lose(self, index: int) -> None:
+        """Lose one message, as its transport would notice."""
+        message = self.messages.pop(index)
+        match message:
+            case PlatformMessage():
+                unavailable = Unavailable(reason="lost", perhaps_applied=True)
+                self._answer_platform(message, unavailable)
+            case PullMessage(node=node, peer=peer):
+                self.dispatch(node, events.PullFailed(peer=peer))
+            case PeerCall():
+                self._fail_peer_call(message, gone=False)
+            case HandoverCall(node=node):
+                done = events.HandoverDone(taken=False, now=self.now)
+                self.dispatch(node, done)
+        self.check()
+
+    def duplicate(self, index: int) -> None:
+        """Double a datagram; streams between nodes cannot double."""
+        message = self.messages[index]
+        if isinstance(message, DATAGRAMS):
+            self.messages.append(message)
+
+    def settle(self, seconds: float = 0.0, *, step: float = TICK) -> None:
+        """Deliver everything, and let time pass in small steps."""
+        end = self.now + seconds
+        for _ in range(MAX_SETTLE_STEPS):
+            while self.messages:
+                self.deliver(0)
+            if self.now >= end:
+                return
+            self.advance(step)
+        raise OracleError("the system does not settle")
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass; upstreams notice closed connections, nodes tick."""
+        for upstream in self.upstreams.values():
+            for run in upstream.pending_cancels:
+                run.running = False
+                run.cancelled = True
+            upstream.pending_cancels.clear()
+        self.now += seconds
+        waiting, self.watches = self.watches, []
+        self.messages += waiting
+        for process in list(self.nodes.values()):
+            self._read_load(process)
+            seed = self.generator.getrandbits(16)
+            self._tick(process, events.Tick(now=self.now, seed=seed))
+        self.check()
+
+    def _tick(self, process: ProcessFake, tick: events.Tick) -> None:
+        if not process.frozen:
+            self.dispatch(process.name, tick)
+
+    def _read_load(self, process: ProcessFake) -> None:
+        upstream = self.upstreams.get(process.name)
+        if upstream is None or process.frozen:
+            return
+        busy = 0 if upstream.lies_idle else len(upstream.list_running())
+        self.dispatch(process.name, events.UpstreamLoadRead(busy=busy, now=self.now))
+
+    def dispatch(self, name: str, event: Event) -> None:
+        """Give a node an event; a frozen one gets it when it thaws."""
+        process = self.nodes.get(name)
+        if process is None or process.exited:
+            return
+        if process.frozen:
+            process.inbox.append(event)
+            return
+        process.state, todo = reduce(process.state, event)
+        generation = process.state.node.configuration.generation
+        if generation < process.highest_generation:
+            raise OracleError(f"{name} went back to generation {generation}")
+        process.highest_generation = generation
+        for effect in todo:
+            self._carry_out(process, effect)
+
+    def _dispatch_at(self, address: Address, event: Event) -> None:
+        for process in self.nodes.values():
+            if process.address == address:
+                self.dispatch(process.name, event)
+                return
+
+    # Faults of processes.
+
+    def kill(self, name: str) -> None:
+        """End a process at once; its connections break."""
+        process = self.nodes[name]
+        process.exited = True
+        upstream = self.upstreams.get(name)
+        if upstream is not None:
+            upstream.pending_cancels += [r for r in upstream.journal if r.running]
+        for flow in process.flows.values():
+            flow.caller_flow.broken = True
+        for exchange in process.exchanges.values():
+            if exchange.peer is not None:
+                self._fail_peer_call(exchange.peer, gone=False)
+        process.exchanges.clear()
+
+    def freeze(self, name: str) -> None:
+        """Stop a process without ending it."""
+        self.nodes[name].frozen = True
+
+    def thaw(self, name: str) -> None:
+        """Let a process go on; what came meanwhile comes now, at its old time."""
+        process = self.nodes[name]
+        process.frozen = False
+        inbox, process.inbox = process.inbox, []
+        for event in inbox:
+            if hasattr(event, "now"):
+                event = evolve(event, now=self.now)
+            self.dispatch(name, event)
+
+    def stop(self, name: str) -> None:
+        """Begin a planned stop of a process."""
+        self.dispatch(name, events.StopRequested(now=self.now))
+
+    # Upstreams.
+
+    def finish(self, run: Run, *, answered: bool = True, shed: bool = False) -> None:
+        """End a piece of work, with a whole answer or without one."""
+        run.running = False
+        run.shed = shed
+        process = self.nodes.get(run.agent)
+        if process is None or process.state.node.incarnation != run.incarnation:
+            return
+        seed = self.generator.getrandbits(16)
+        if answered:
+            body = f"done {run.attempt.work}".encode()
+            answer = RecordedAnswer(status=503 if shed else 200, headers=(), body=body)
+            event: Event = events.UpstreamAnswered(
+                request=run.request, answer=answer, shed=shed, now=self.now, seed=seed
+            )
+        else:
+            event = events.UpstreamFailed(
+                request=run.request, sent=True, now=self.now, seed=seed
+            )
+        self.dispatch(run.agent, event)
+
+    def list_running(self) -> list[Run]:
+        """Return all work that goes on."""
+        return [
+            run
+            for upstream in self.upstreams.values()
+            for run in upstream.journal
+            if run.running
+        ]
+
+    # Effects.
+
+    def _carry_out(self, process: ProcessFake, effect: Effect) -> None:
+        match effect:
+            case effects.Send(destination=destination, frame=frame):
+                message = FrameMessage(process.address, destination, frame)
+                self.messages.append(message)
+            case effects.SendToCaller(datagram=datagram):
+                payload = int.from_bytes(datagram[:4], "big")
+                self.messages.append(ToCallerMessage(payload))
+            case effects.Deliver():
+                self._deliver_to_quic(process, effect)
+            case effects.MoveReplyPath(old=old, new=new):
+                for flow in process.flows.values():
+                    if flow.reply_to == old:
+                        flow.reply_to = new
+            case effects.CallPlatform(purpose=purpose, call=call, name=name):
+                self.messages.append(
+                    PlatformMessage(
+                        process.name,
+                        process.state.node.incarnation,
+                        purpose,
+                        call,
+                        name,
+                        self.now,
+                    )
+                )
+            case effects.PullConfiguration(peer=peer):
+                self.messages.append(PullMessage(process.name, peer))
+            case effects.HandOver(peer=peer, upstream=upstream, transfers=transfers):
+                call = HandoverCall(process.name, peer, upstream, transfers)
+                self.messages.append(call)
+            case effects.Exit():
+                self._exit(process)
+            case _:
+                self._carry_out_for_request(process, effect)
+
+    def _exit(self, process: ProcessFake) -> None:
+        if any(flow.caller_flow.attempts for flow in process.flows.values()):
+            raise OracleError(f"{process.name} left with open flows")
+        process.exited = True
+
+    def _carry_out_for_request(self, process: ProcessFake, effect: Effect) -> None:
+        exchange = process.exchanges.get(getattr(effect, "request", -1))
+        if exchange is None:
+            return
+        match effect:
+            case effects.StartUpstream():
+                self._start_run(process, exchange)
+            case effects.AbortUpstream(request=request):
+                upstream = self.upstreams[process.name]
+                incarnation = process.state.node.incarnation
+                upstream.pending_cancels += [
+                    run
+                    for run in upstream.journal
+                    if (run.request, run.incarnation) == (request, incarnation)
+                    and run.running
+                ]
+            case effects.Answer(answer=answer, ticket=ticket, outcome=outcome):
+                self._answer(process, exchange, outcome, answer.body, ticket, 0)
+            case effects.Refuse(outcome=outcome, ticket=ticket, retry_after=pause):
+                self._answer(process, exchange, outcome, b"", ticket, pause)
+            case effects.CutAnswer():
+                process.exchanges.pop(exchange.number, None)
+            case effects.PassRequest(peer=peer):
+                call = PeerCall(
+                    process.name,
+                    exchange.number,
+                    process.state.node.incarnation,
+                    peer,
+                    exchange.attempt,
+                )
+                self.messages.append(call)
+            case effects.DeclineRequest():
+                process.exchanges.pop(exchange.number, None)
+                assert exchange.peer is not None
+                self._fail_peer_call(exchange.peer, gone=True)
+
+    def _start_run(self, process: ProcessFake, exchange: Exchange) -> None:
+        upstream = self.upstreams[process.name]
+        attempt = exchange.attempt
+        run = Run(
+            attempt=attempt,
+            agent=process.name,
+            incarnation=process.state.node.incarnation,
+            request=exchange.number,
+            started=self.now,
+        )
+        upstream.journal.append(run)
+        if attempt.flow.service != upstream.service:
+            raise OracleError(f"{attempt.work} ran on a wrong service")
+
+    def _answer(
+        self,
+        process: ProcessFake,
+        exchange: Exchange,
+        outcome: RequestOutcome,
+        body: bytes,
+        ticket: str,
+        retry_after: int,
+    ) -> None:
+        process.exchanges.pop(exchange.number, None)
+        answered = Answered(exchange.attempt, outcome, body, ticket, retry_after)
+        if exchange.peer is not None:
+            exchange.peer.answer = answered
+            exchange.peer.returning = True
+            self.messages.append(exchange.peer)
+            return
+        assert exchange.flow is not None
+        exchange.flow.unacknowledged.append(answered)
+        self._send_payload(process, exchange.flow, answered)
+
+    def _send_payload(
+        self, process: ProcessFake, flow: AgentFlow, payload: Connected | Answered
+    ) -> None:
+        assert isinstance(process.state, AgentState)
+        self.payloads.append(payload)
+        frame = ToCaller(
+            generation=process.state.node.configuration.generation,
+            service=process.state.service,
+            upstream=process.state.upstream,
+            caller=flow.caller_flow.caller,
+            load=get_load(process.state),
+            datagram=(len(self.payloads) - 1).to_bytes(4, "big"),
+        )
+        self.messages.append(FrameMessage(process.address, flow.reply_to, frame))
+
+    # Deliveries.
+
+    def _deliver_to_balancer(self, message: ToBalancer) -> None:
+        live = [process for process in self.list_balancers()]
+        if not live:
+            return
+        process = self.generator.choice(live)
+        assert isinstance(process.state, BalancerState)
+        numbers = {
+            accepted.name: accepted.number
+            for accepted in process.state.node.configuration.services
+        }
+        number = numbers.get(message.flow.service)
+        if number is None:
+            return
+        event = events.CallerDatagram(
+            service=number,
+            caller=message.flow.caller,
+            datagram=message.datagram,
+            now=self.now,
+        )
+        self.dispatch(process.name, event)
+
+    def _deliver_to_quic(self, process: ProcessFake, effect: effects.Deliver) -> None:
+        packet = read_packet(effect.datagram)
+        assert packet is not None
+        for flow in process.flows.values():
+            if packet.cid in (flow.cid, flow.caller_flow.first_cid):
+                flow.reply_to = effect.reply_to
+                self._take_packet(process, flow, effect.datagram, packet.cid)
+                return
+        if packet.cid[0:1] and len(packet.cid) == CONNECTION_ID_LENGTH:
+            return
+        self._open_agent_flow(process, effect, packet.cid)
+
+    def _open_agent_flow(
+        self, process: ProcessFake, effect: effects.Deliver, first_cid: bytes
+    ) -> None:
+        assert isinstance(process.state, AgentState)
+        state = process.state
+        caller_flow = next(f for f in self.flows if f.first_cid == first_cid)
+        cid = KEYS.mint(
+            Route(state.upstream, state.service, state.incarnation),
+            epoch=state.node.configuration.key_epoch,
+            nonce=self.generator.randbytes(6),
+        )
+        flow = AgentFlow(
+            number=next(process.numbers),
+            caller_flow=caller_flow,
+            cid=cid,
+            reply_to=effect.reply_to,
+        )
+        process.flows[flow.number] = flow
+        self.dispatch(process.name, events.FlowOpened(flow=flow.number, now=self.now))
+        connected = Connected(caller_flow, cid, process.name)
+        flow.unacknowledged.append(connected)
+        self._send_payload(process, flow, connected)
+
+    def _take_packet(
+        self, process: ProcessFake, flow: AgentFlow, datagram: bytes, cid: bytes
+    ) -> None:
+        if cid != flow.cid:
+            return
+        start = 1 + CONNECTION_ID_LENGTH
+        number = int.from_bytes(datagram[start : start + 4], "big")
+        attempt = self.attempts[number]
+        if attempt.arrived:
+            return
+        attempt.arrived = True
+        if attempt in attempt.flow.unsent:
+            attempt.flow.unsent.remove(attempt)
+        exchange = Exchange(next(process.numbers), attempt, flow=flow)
+        self._announce(process, exchange, flow.number, number)
+
+    def _announce(
+        self, process: ProcessFake, exchange: Exchange, flow: int, stream: int
+    ) -> None:
+        attempt = exchange.attempt
+        process.exchanges[exchange.number] = exchange
+        method = "POST" if attempt.path == "/claim" else "GET"
+        self.dispatch(
+            process.name,
+            events.RequestArrived(
+                request=exchange.number,
+                flow=flow,
+                stream=stream,
+                method=method,
+                path=attempt.path,
+                key=attempt.key,
+                fingerprint=attempt.work.encode(),
+                whole=True,
+                now=self.now,
+                seed=self.generator.getrandbits(16),
+            ),
+        )
+
+    def _deliver_to_caller(self, payload: Connected | Answered) -> None:
+        match payload:
+            case Connected(flow=flow, cid=cid, agent=agent):
+                if flow.cid not in (b"", cid):
+                    return
+                flow.cid = cid
+                flow.agent = agent
+            case Answered(attempt=attempt):
+                if attempt.outcome is None:
+                    self._take_answer(payload)
+        for process in self.nodes.values():
+            for agent_flow in process.flows.values():
+                if payload in agent_flow.unacknowledged:
+                    agent_flow.unacknowledged.remove(payload)
+
+    def _take_answer(self, payload: Answered) -> None:
+        attempt = payload.attempt
+        attempt.outcome = payload.outcome
+        attempt.answered = self.now
+        attempt.body = payload.body
+        attempt.ticket = payload.ticket
+        attempt.retry_after = payload.retry_after
+        if payload.outcome == RequestOutcome.DONE:
+            wanted = f"done {attempt.work}".encode()
+            if payload.body != wanted:
+                raise OracleError(f"{attempt.work} got {payload.body!r}")
+
+    def _call_platform(self, message: PlatformMessage) -> None:
+        if self.platform_down:
+            self._answer_platform(message, Unavailable(reason="down"))
+            return
+        writes = isinstance(message.call, (Put, Delete))
+        if writes:
+            listed = tuple(self.platform.objects.values())
+            self._old_listing = Listing(objects=listed, revision=self.platform.revision)
+        outcome = self.platform.apply(message.call)
+        if isinstance(message.call, Watch) and isinstance(outcome, Changed):
+            expired = self.now - message.asked > message.call.patience
+            if not outcome.names and not expired:
+                self.watches.append(message)
+                return
+        if isinstance(outcome, Listing) and self.stale_lists and self._old_listing:
+            self.stale_lists -= 1
+            outcome = self._old_listing
+        if writes and self.lose_answers:
+            self.lose_answers -= 1
+            outcome = Unavailable(reason="answer lost", perhaps_applied=True)
+        self._answer_platform(message, outcome)
+
+    def _answer_platform(self, message: PlatformMessage, outcome) -> None:
+        process = self.nodes.get(message.node)
+        if process is None or process.exited:
+            return
+        self.dispatch(
+            message.node,
+            events.PlatformAnswered(
+                purpose=message.purpose,
+                outcome=outcome,
+                now=self.now,
+                name=message.name,
+            ),
+        )
+
+    def _pull(self, message: PullMessage) -> None:
+        for process in self.nodes.values():
+            reachable = not (process.exited or process.frozen)
+            if process.address == message.peer and reachable:
+                offered = events.ConfigurationOffered(
+                    configuration=process.state.node.configuration, now=self.now
+                )
+                self.dispatch(message.node, offered)
+                return
+        self.dispatch(message.node, events.PullFailed(peer=message.peer))
+
+    def _deliver_peer_call(self, message: PeerCall) -> None:
+        if message.returning:
+            self._return_peer_call(message)
+            return
+        for process in self.nodes.values():
+            if process.address == message.peer and not process.exited:
+                exchange = Exchange(
+                    next(process.numbers), message.attempt, peer=message
+                )
+                self._announce(process, exchange, -1, -1)
+                return
+        self._fail_peer_call(message, gone=True)
+
+    def _return_peer_call(self, message: PeerCall) -> None:
+        answer = message.answer
+        assert answer is not None
+        headers = (Header(name=OUTCOME_HEADER, value=answer.outcome.value),)
+        recorded = RecordedAnswer(status=200, headers=headers, body=answer.body)
+        if self._is_same_process(message):
+            self.dispatch(
+                message.node,
+                events.PeerAnswered(
+                    request=message.request,
+                    answer=recorded,
+                    outcome=answer.outcome,
+                    now=self.now,
+                ),
+            )
+
+    def _fail_peer_call(self, message: PeerCall, *, gone: bool) -> None:
+        if not self._is_same_process(message):
+            return
+        self.dispatch(
+            message.node,
+            events.PeerFailed(
+                request=message.request,
+                gone=gone,
+                now=self.now,
+                seed=self.generator.getrandbits(16),
+            ),
+        )
+
+    def _is_same_process(self, message: PeerCall) -> bool:
+        process = self.nodes.get(message.node)
+        return (
+            process is not None
+            and not process.exited
+            and message.request in process.exchanges
+            and process.state.node.incarnation == message.incarnation
+        )
+
+    def _deliver_handover(self, message: HandoverCall) -> None:
+        if message.returning:
+            done = events.HandoverDone(taken=True, now=self.now)
+            self.dispatch(message.node, done)
+            return
+        handover = HandoverMessage(
+            upstream=message.upstream, transfers=message.transfers
+        )
+        decoded = decode_handover(KEYS, encode_handover(KEYS, handover))
+        for process in self.nodes.values():
+            alive = not (process.exited or process.frozen)
+            if process.address == message.peer and alive:
+                received = events.HandoverReceived(
+                    transfers=decoded.transfers, now=self.now
+                )
+                self.dispatch(process.name, received)
+                message.returning = True
+                self.messages.append(message)
+                return
+        self.dispatch(message.node, events.HandoverDone(taken=False, now=self.now))
+
+    # The oracle.
+
+    def check(self) -> None:
+        """Raise `OracleError` where a promise does not hold."""
+        self._check_slots()
+        self._check_runs()
+        self._check_accepted()
+
+    def _check_slots(self) -> None:
+        for upstream in self.upstreams.values():
+            busy = len(upstream.list_running())
+            if busy > upstream.slots:
+                raise OracleError(f"{upstream.name} works on {busy} requests")
+
+    def _check_runs(self) -> None:
+        runs: dict[str, list[Run]] = {}
+        for upstream in self.upstreams.values():
+            for run in upstream.journal:
+                if run.attempt.path == "/claim" and not run.shed:
+                    runs.setdefault(run.attempt.work, []).append(run)
+        for work, found in runs.items():
+            if len(found) > 1:
+                raise OracleError(f"{work} ran {len(found)} times")
+        for attempt in self.attempts:
+            refused = attempt.outcome == RequestOutcome.NOT_RUN
+            if not refused or attempt.path != "/claim":
+                continue
+            for run in runs.get(attempt.work, []):
+                if run.attempt.sent <= attempt.answered:
+                    raise OracleError(f"{attempt.work} was refused, yet ran")
+
+    def _check_accepted(self) -> None:
+        for process in self.nodes.values():
+            configuration = process.state.node.configuration
+            known = self.accepted.setdefault(configuration.generation, configuration)
+            if known != configuration:
+                text = f"generation {configuration.generation} exists twice"
+                raise OracleError(text)
