--- /dev/null
+++ b/shedsill/tests/test_faults.py
@@ -0,0 +1,376 @@
+"""The fault matrix: every fault at every step, through the real reducers.
+
+Each cell brings a small system to a step, lets a fault strike, heals it, and
+then demands that the oracle holds, that every request on an unbroken flow has
+its answer, and that all nodes agree on one configuration.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+from attrs import define, evolve
+
+from shedsill._configuration import UpstreamState
+from shedsill._effects import RequestOutcome
+from shedsill._resources import Action, Change, Upstream, UpstreamSet
+from shedsill.testing.world import Attempt, CallerFlow, World
+
+BALANCERS = ("b1", "b2", "b3")
+
+
+@define
+class Scene:
+    """A world and the flow on which something is going on."""
+
+    world: World
+    flow: CallerFlow
+
+    @property
+    def agent(self) -> str:
+        """The agent that has the flow."""
+        return self.flow.agent or "d1"
+
+
+def make_scene() -> Scene:
+    """Return a world at rest with one open flow."""
+    world = World(seed=7)
+    for name in BALANCERS:
+        world.start_balancer(name)
+    world.add_service("dispatcher", ("d1", "d2", "d3"), slots=2)
+    world.add_service("intake", ("i1", "i2"), slots=2)
+    world.settle(4.0)
+    flow = world.open_flow("dispatcher")
+    world.settle(0.2)
+    assert flow.cid
+    return Scene(world, flow)
+
+
+def run_request(scene: Scene, work: str, **options) -> Attempt:
+    """Send a request and let it finish."""
+    attempt = scene.world.send_request(scene.flow, work, **options)
+    scene.world.settle()
+    for run in scene.world.list_running():
+        scene.world.finish(run)
+    scene.world.settle()
+    return attempt
+
+
+def change(scene: Scene, action: Action, target: str = "") -> None:
+    """Write a change."""
+    name = f"{action.value}-{target or 'x'}"
+    scene.world.apply(Change(name=name, action=action, target=target))
+
+
+def set_upstreams(scene: Scene, names: tuple[str, ...]) -> None:
+    """Write the upstreams of the dispatcher."""
+    members = tuple(
+        Upstream(name=name, address=str(scene.world.nodes[name].address))
+        for name in names
+    )
+    group = UpstreamSet(name="dispatcher", service="dispatcher", upstreams=members)
+    scene.world.apply(group)
+
+
+def step_first_packet(scene: Scene) -> None:
+    scene.world.open_flow("dispatcher")
+
+
+def step_first_packet_at_agent(scene: Scene) -> None:
+    scene.world.open_flow("dispatcher")
+    scene.world.deliver(len(scene.world.messages) - 1)
+
+
+def step_request_sent(scene: Scene) -> None:
+    scene.world.send_request(scene.flow, "w")
+
+
+def step_request_running(scene: Scene) -> None:
+    scene.world.send_request(scene.flow, "w")
+    scene.world.settle()
+
+
+def step_request_queued(scene: Scene) -> None:
+    for index in range(4):
+        scene.world.send_request(scene.flow, f"w{index}")
+    scene.world.settle()
+
+
+def step_answer_on_its_way(scene: Scene) -> None:
+    step_request_running(scene)
+    scene.world.finish(scene.world.list_running()[0])
+
+
+def step_answer_cut(scene: Scene) -> None:
+    step_request_running(scene)
+    scene.world.finish(scene.world.list_running()[0], answered=False)
+
+
+def step_retry_while_running(scene: Scene) -> None:
+    ticket = run_request(scene, "r", path="/read").ticket
+    scene.world.send_request(scene.flow, "w", key=ticket)
+    scene.world.settle()
+    other = scene.world.open_flow("dispatcher")
+    scene.world.settle(0.2)
+    scene.world.send_request(other, "w", key=ticket)
+
+
+def step_retry_when_done(scene: Scene) -> None:
+    ticket = run_request(scene, "r", path="/read").ticket
+    run_request(scene, "w", key=ticket)
+    other = scene.world.open_flow("dispatcher")
+    scene.world.settle(0.2)
+    scene.world.send_request(other, "w", key=ticket)
+
+
+def step_drain_written(scene: Scene) -> None:
+    scene.world.send_request(scene.flow, "s", path="/stream")
+    scene.world.settle()
+    change(scene, Action.DRAIN, scene.agent)
+
+
+def step_drain_in_force(scene: Scene) -> None:
+    step_drain_written(scene)
+    scene.world.settle(2.0)
+
+
+def step_drain_ending(scene: Scene) -> None:
+    ticket = run_request(scene, "r", path="/read").ticket
+    run_request(scene, "w", key=ticket)
+    scene.world.stop(scene.agent)
+    scene.world.settle(0.2)
+
+
+def step_balancer_stopping(scene: Scene) -> None:
+    scene.world.stop("b1")
+
+
+def step_upstream_joining(scene: Scene) -> None:
+    set_upstreams(scene, ("d1", "d2"))
+    scene.world.settle(2.0)
+    set_upstreams(scene, ("d1", "d2", "d3"))
+
+
+def step_apply_written(scene: Scene) -> None:
+    change(scene, Action.ROTATE_KEYS)
+    scene.world.advance(0.05)
+
+
+def step_apply_half_spread(scene: Scene) -> None:
+    change(scene, Action.ROTATE_KEYS)
+    for _ in range(6):
+        scene.world.advance(0.05)
+        for _ in range(min(3, len(scene.world.messages))):
+            scene.world.deliver(0)
+
+
+def step_agent_restarted(scene: Scene) -> None:
+    scene.world.send_request(scene.flow, "w")
+    scene.world.settle()
+    agent = scene.agent
+    scene.world.kill(agent)
+    scene.world.start_agent(agent)
+
+
+def step_join_in_outage(scene: Scene) -> None:
+    scene.world.platform_down = True
+    scene.world.kill("b3")
+    scene.world.start_balancer("b3")
+    scene.world.advance(0.05)
+
+
+def fault_none(scene: Scene) -> None:
+    del scene
+
+
+def fault_kill_balancer(scene: Scene) -> None:
+    scene.world.kill("b1")
+    scene.world.settle(1.0)
+
+
+def fault_kill_all_balancers_but_one(scene: Scene) -> None:
+    scene.world.kill("b1")
+    scene.world.kill("b2")
+    scene.world.settle(1.0)
+
+
+def fault_freeze_balancer(scene: Scene) -> None:
+    scene.world.freeze("b1")
+    scene.world.settle(10.0, step=0.25)
+    scene.world.thaw("b1")
+
+
+def fault_kill_agent(scene: Scene) -> None:
+    scene.world.kill(scene.agent)
+    scene.world.settle(1.0)
+
+
+def fault_freeze_agent(scene: Scene) -> None:
+    scene.world.freeze(scene.agent)
+    scene.world.settle(10.0, step=0.25)
+    scene.world.thaw(scene.agent)
+
+
+def fault_platform_down(scene: Scene) -> None:
+    scene.world.platform_down = True
+    scene.world.settle(8.0, step=0.25)
+
+
+def fault_lost_answers(scene: Scene) -> None:
+    scene.world.lose_answers = 3
+
+
+def fault_stale_reads(scene: Scene) -> None:
+    scene.world.stale_lists = 3
+
+
+def fault_all_lost(scene: Scene) -> None:
+    while scene.world.messages:
+        scene.world.lose(0)
+
+
+def fault_all_doubled(scene: Scene) -> None:
+    for index in range(len(scene.world.messages)):
+        scene.world.duplicate(index)
+
+
+def fault_reversed(scene: Scene) -> None:
+    scene.world.messages.reverse()
+
+
+def fault_wrong_machine_list(scene: Scene) -> None:
+    for name in ("d1", "d2", "d3"):
+        scene.world.list_machine(name, leaving=name != scene.agent)
+    scene.world.settle(4.0)
+
+
+def fault_lying_load(scene: Scene) -> None:
+    for upstream in scene.world.upstreams.values():
+        upstream.lies_idle = True
+
+
+def fault_clock_jump(scene: Scene) -> None:
+    scene.world.advance(300.0)
+
+
+def fault_operators_race(scene: Scene) -> None:
+    set_upstreams(scene, ("d1", "d2"))
+    set_upstreams(scene, ("d2", "d3"))
+    set_upstreams(scene, ("d1", "d2", "d3"))
+
+
+def _collect(prefix: str) -> dict[str, Callable[[Scene], None]]:
+    return {
+        name.removeprefix(prefix): function
+        for name, function in globals().items()
+        if name.startswith(prefix)
+    }
+
+
+STEPS = _collect("step_")
+FAULTS = _collect("fault_")
+
+
+def heal(scene: Scene) -> None:
+    """Undo all faults and let everything finish."""
+    world = scene.world
+    world.platform_down = False
+    world.lose_answers = world.stale_lists = 0
+    for name, process in list(world.nodes.items()):
+        if process.frozen:
+            world.thaw(name)
+        if process.exited and name in BALANCERS:
+            world.start_balancer(name)
+        elif process.exited:
+            world.start_agent(name)
+    world.platform.machines = ()
+    for _ in range(8):
+        world.retransmit()
+        world.settle(1.0, step=0.25)
+        for run in world.list_running():
+            if run.attempt.path != "/stream":
+                world.finish(run)
+    world.settle(32.0, step=0.5)
+    world.retransmit()
+    world.settle(0.5)
+
+
+def check_end(scene: Scene) -> None:
+    """Demand an answer to every request, and agreement."""
+    world = scene.world
+    for attempt in world.attempts:
+        if not attempt.flow.broken and attempt.path != "/stream":
+            assert attempt.outcome is not None, f"{attempt.work} has no answer"
+    live = [p for p in world.nodes.values() if not p.exited]
+    generations = {p.state.node.configuration.generation for p in live}
+    assert len(generations) == 1, generations
+
+
+@pytest.mark.parametrize("fault", sorted(FAULTS))
+@pytest.mark.parametrize("step", sorted(STEPS))
+def test_promises_hold(step: str, fault: str) -> None:
+    scene = make_scene()
+    STEPS[step](scene)
+    FAULTS[fault](scene)
+    heal(scene)
+    check_end(scene)
+
+
+@pytest.mark.parametrize("step", sorted(STEPS))
+def test_no_planned_step_breaks_a_flow(step: str) -> None:
+    if step == "agent_restarted":
+        return
+    scene = make_scene()
+    STEPS[step](scene)
+    scene.world.retransmit()
+    scene.world.settle(20.0, step=0.25)
+    assert not any(flow.broken for flow in scene.world.flows)
+
+
+def test_leaving_upstream_gets_no_new_work() -> None:
+    scene = make_scene()
+    change(scene, Action.DRAIN, scene.agent)
+    scene.world.settle(3.0)
+    configuration = scene.world.nodes["b1"].state.node.configuration
+    state = {u.name: u.state for u in configuration.upstreams}[scene.agent]
+    assert state == UpstreamState.DRAINING
+    attempt = run_request(scene, "late")
+    assert attempt.outcome == RequestOutcome.NOT_RUN
+    for _ in range(20):
+        scene.world.open_flow("dispatcher")
+    scene.world.settle(1.0)
+    placed = [flow.agent for flow in scene.world.flows[1:]]
+    assert "" not in placed
+    assert scene.agent not in placed
+
+
+def test_repeat_after_planned_leave_gets_the_recorded_answer() -> None:
+    scene = make_scene()
+    ticket = run_request(scene, "r", path="/read").ticket
+    first = run_request(scene, "w", key=ticket)
+    leaver = scene.agent
+    process = scene.world.nodes[leaver]
+    process.flows.clear()
+    process.state = evolve(process.state, flows=0)
+    scene.world.stop(leaver)
+    scene.world.settle(4.0)
+    assert process.exited
+    scene.flow = scene.world.open_flow("dispatcher")
+    scene.world.settle(0.5)
+    again = run_request(scene, "w", key=ticket)
+    assert (again.outcome, again.body) == (RequestOutcome.DONE, first.body)
+
+
+def test_configuration_accepted_before_an_outage_reaches_every_node() -> None:
+    scene = make_scene()
+    change(scene, Action.ROTATE_KEYS)
+    while max(scene.world.accepted) < 2:
+        scene.world.advance(0.05)
+        while scene.world.messages and max(scene.world.accepted) < 2:
+            scene.world.deliver(0)
+    scene.world.platform_down = True
+    scene.world.start_balancer("b4")
+    scene.world.settle(5.0)
+    nodes = scene.world.nodes.values()
+    assert {p.state.node.configuration.generation for p in nodes} == {2}
