--- a/shedsill/_admission.py
+++ b/shedsill/_admission.py
@@ -289,15 +289,21 @@
 def drop_request(
     admission: Admission, request: Request, now: float, *, aborted: bool = False
 ) -> Admission:
-    """Take a request out; an aborted one keeps its slot for the grace time."""
-    requests = admission.requests
-    if request.number in requests:
-        requests = requests.delete(request.number)
-    queue = tuple(n for n in admission.queue if n != request.number)
-    admission = evolve(admission, requests=requests, queue=queue)
-    if request.phase != Phase.RUNNING:
+    """Take a request out; an aborted one keeps its slot for the grace time.
+
+    Dropping a request that is no longer there changes nothing.
+    """
+    known = admission.requests.get(request.number)
+    if known is None:
         return admission
-    if not request.takes_slot:
+    admission = evolve(
+        admission,
+        requests=admission.requests.delete(request.number),
+        queue=tuple(n for n in admission.queue if n != request.number),
+    )
+    if known.phase != Phase.RUNNING:
+        return admission
+    if not known.takes_slot:
         return evolve(admission, streams=admission.streams - 1)
     cooling = tuple(end for end in admission.cooling if end > now)
     if aborted:
--- a/shedsill/_agent.py
+++ b/shedsill/_agent.py
@@ -172,8 +172,7 @@
 
 def open_flow(state: AgentState, event: FlowOpened) -> Step:
     """Count a new connection."""
-    next_flow = max(state.next_flow, event.flow + 1)
-    state = evolve(state, flows=state.flows + 1, next_flow=next_flow)
+    state = evolve(state, flows=state.flows + 1)
     fields = {"flow": event.flow, "flows": state.flows}
     return state, [Note(event=LogEvent.FLOW_OPENED, fields=fields)]
 
--- a/shedsill/_agent_state.py
+++ b/shedsill/_agent_state.py
@@ -92,8 +92,6 @@
         0 while the configuration does not name this agent.
     flows : int
         Open connections.
-    next_flow : int
-        Above the number of every flow seen.
     started : float
         Local time from which slow start counts.
     reply_paths : Map
@@ -115,7 +113,6 @@
     upstream: int = 0
     service: int = 0
     flows: int = 0
-    next_flow: int = 0
     started: float = 0.0
     next_ticket: int = 1
     decisions: immutables.Map[bytes, Placed] = field(factory=immutables.Map)
--- a/shedsill/_outcomes.py
+++ b/shedsill/_outcomes.py
@@ -55,18 +55,14 @@
 
 @frozen(kw_only=True)
 class Refused:
-    """The request did not run.
+    """The request did not run and, under this ticket, never will.
 
-    A copy may run only if it was certainly sent after the refusal: on a flow
-    opened later, or on a later stream of the same flow.  Any other copy could
-    be one that was under way while the caller learned that nothing ran.
+    Nothing in a later copy shows that it was sent after the caller learned of
+    the refusal.  A caller that goes on uses the ticket that came with it.
     """
 
     fingerprint: bytes
     expires: float
-    flow: int
-    stream: int
-    next_flow: int
 
 
 Record = Running | Done | MayHaveRun | Refused
@@ -136,7 +132,11 @@
 
 
 def is_full(ledger: Ledger) -> bool:
-    """Whether no further ticket can be recorded."""
+    """Whether no further request with a ticket may run.
+
+    Refusals are recorded all the same; they are small, and their number is
+    bounded by the rate of requests and the lifetime of tickets.
+    """
     return ledger.size >= MAX_RECORDS
 
 
--- a/shedsill/_peers.py
+++ b/shedsill/_peers.py
@@ -21,7 +21,6 @@
 from shedsill.errors import DecodeError
 
 MAX_MESSAGE_WORDS = 1 << 24
-ANY_FLOW = (1 << 62) - 1
 
 
 @frozen(kw_only=True)
@@ -137,13 +136,7 @@
             answer = _read_answer(slot.done)
             return Done(fingerprint=fingerprint, expires=slot.expires, answer=answer)
         case "refused":
-            return Refused(
-                fingerprint=fingerprint,
-                expires=slot.expires,
-                flow=-1,
-                stream=-1,
-                next_flow=ANY_FLOW,
-            )
+            return Refused(fingerprint=fingerprint, expires=slot.expires)
         case _:
             return MayHaveRun(fingerprint=fingerprint, expires=slot.expires)
 
--- a/shedsill/_requests.py
+++ b/shedsill/_requests.py
@@ -152,6 +152,8 @@
     if expires <= event.now:
         return state, [_say_unknown(request, STATUS_CONFLICT, "the ticket has expired")]
     if is_full(state.ledger):
+        refused = Refused(fingerprint=request.fingerprint, expires=expires)
+        state = _record(state, request, refused)
         reason = "the record of outcomes is full"
         return state, [_refuse(state, request, STATUS_UNAVAILABLE, reason, event)]
     running = Running(
@@ -175,17 +177,9 @@
         case MayHaveRun():
             reason = "an earlier attempt may have run"
             return state, [_say_unknown(request, STATUS_CONFLICT, reason)]
-        case Refused() if not _is_certainly_later(record, event):
+        case Refused():
             reason = "an attempt with this ticket was refused; use the new ticket"
             return state, [_refuse(state, request, STATUS_UNAVAILABLE, reason, event)]
-        case Refused():
-            running = Running(
-                fingerprint=request.fingerprint,
-                expires=record.expires,
-                request=request.number,
-            )
-            state = _record(state, request, running)
-            return _admit(state, request, event.now, event.seed)
         case Running():
             joined = evolve(record, waiters=(*record.waiters, request.number))
             state = _record(state, request, joined)
@@ -194,14 +188,6 @@
             return state, [_note(LogEvent.REQUEST_JOINED, request)]
 
 
-def _is_certainly_later(record: Refused, event: RequestArrived) -> bool:
-    if event.from_peer:
-        return False
-    if event.flow >= record.next_flow:
-        return True
-    return event.flow == record.flow and event.stream > record.stream
-
-
 def _pass_request(
     state: AgentState, request: Request, origin: OutcomeKey, event: RequestArrived
 ) -> Step:
@@ -572,13 +558,7 @@
     record = _find_own_record(state, request)
     if record is None:
         return state
-    refused = Refused(
-        fingerprint=record.fingerprint,
-        expires=record.expires,
-        flow=request.flow,
-        stream=request.stream,
-        next_flow=state.next_flow,
-    )
+    refused = Refused(fingerprint=record.fingerprint, expires=record.expires)
     return _record(state, request, refused)
 
 
--- a/shedsill/testing/world.py
+++ b/shedsill/testing/world.py
@@ -1035,7 +1035,8 @@
             if not refused or attempt.path != "/claim":
                 continue
             for run in runs.get(attempt.work, []):
-                if run.attempt.sent <= attempt.answered:
+                same_key = run.attempt.key == attempt.key
+                if same_key or run.attempt.sent <= attempt.answered:
                     raise OracleError(f"{attempt.work} was refused, yet ran")
 
     def _check_accepted(self) -> None:
