--- a/shedsill/_agent.py
+++ b/shedsill/_agent.py
@@ -40,7 +40,7 @@
 )
 from shedsill._outcomes import add_origin, drop_expired, take_transfer
 from shedsill._requests import expire_requests, start_waiting
-from shedsill._resources import RequestKind
+from shedsill._resources import RequestKind, Service
 
 MAX_PROBED_PATHS = 8
 DEFAULT_DEADLINE = 30.0
@@ -123,12 +123,16 @@
     )
     if not first:
         return evolve(state, admission=admission)
-    deadlines = [c.deadline for c in service.classes if c.kind == RequestKind.SLOT]
-    held_until = now + max([*deadlines, DEFAULT_DEADLINE])
-    admission = evolve(admission, held_until=held_until)
+    admission = evolve(admission, held_until=now + get_longest_deadline(service))
     return evolve(state, admission=admission, started=now)
 
 
+def get_longest_deadline(service: Service) -> float:
+    """Return the seconds after which nothing an earlier agent sent can run."""
+    deadlines = [c.deadline for c in service.classes if c.kind == RequestKind.SLOT]
+    return max([*deadlines, DEFAULT_DEADLINE])
+
+
 def take_any_frame(state: AgentState, event: FrameReceived) -> Step:
     """Take in a frame from a balancer or another agent."""
     node, effects = hear_frame(state.node, event.frame, event.source, event.now)
--- a/shedsill/testing/world.py
+++ b/shedsill/testing/world.py
@@ -79,8 +79,8 @@
     ----------
     work : str
         The piece of work; several attempts may ask for the same one.
-    sent : float
-        Time of sending.
+    sent, answered : int
+        Places in the order of all that happened; time may stand still.
     """
 
     number: int
@@ -88,10 +88,10 @@
     work: str
     path: str
     key: str
-    sent: float
+    sent: int
     arrived: bool = False
     outcome: RequestOutcome | None = None
-    answered: float = 0.0
+    answered: int = 0
     body: bytes = b""
     ticket: str = ""
     retry_after: int = 0
@@ -167,6 +167,14 @@
     shed: bool = False
 
 
+@frozen
+class Cancel:
+    """A closed connection that the upstream will notice at a time."""
+
+    run: Run
+    due: float
+
+
 @define(eq=False)
 class FakeUpstream:
     """An upstream with a journal; survives its agent."""
@@ -175,7 +183,7 @@
     service: str
     slots: int
     journal: list[Run] = field(factory=list)
-    pending_cancels: list[Run] = field(factory=list)
+    cancels: list[Cancel] = field(factory=list)
     lies_idle: bool = False
 
     def list_running(self) -> list[Run]:
@@ -290,6 +298,8 @@
         On their way; any may be delivered next.
     platform_down, lose_answers, stale_lists : bool, int, int
         Faults of the platform.
+    cancel_delay : float
+        Seconds until an upstream notices that a connection was closed.
     """
 
     seed: int = 1
@@ -302,6 +312,7 @@
     platform_down: bool = False
     lose_answers: int = 0
     stale_lists: int = 0
+    cancel_delay: float = 0.1
     watches: list[PlatformMessage] = field(factory=list)
     flows: list[CallerFlow] = field(factory=list)
     attempts: list[Attempt] = field(factory=list)
@@ -310,6 +321,7 @@
     generator: random.Random = field(factory=random.Random)
     _old_listing: Listing | None = None
     _addresses: dict[str, Address] = field(factory=dict)
+    _order: itertools.count = field(factory=itertools.count)
     _starts: itertools.count = field(factory=lambda: itertools.count(1))
 
     def __attrs_post_init__(self) -> None:
@@ -440,7 +452,7 @@
             work=work,
             path=path,
             key=key,
-            sent=self.now,
+            sent=next(self._order),
         )
         self.attempts.append(attempt)
         flow.attempts.append(attempt)
@@ -526,12 +538,13 @@
 
     def advance(self, seconds: float) -> None:
         """Let time pass; upstreams notice closed connections, nodes tick."""
+        self.now += seconds
         for upstream in self.upstreams.values():
-            for run in upstream.pending_cancels:
+            due = [c.run for c in upstream.cancels if c.due <= self.now]
+            upstream.cancels = [c for c in upstream.cancels if c.due > self.now]
+            for run in due:
+                run.cancelled = run.running
                 run.running = False
-                run.cancelled = True
-            upstream.pending_cancels.clear()
-        self.now += seconds
         waiting, self.watches = self.watches, []
         self.messages += waiting
         for process in list(self.nodes.values()):
@@ -581,7 +594,7 @@
         process.exited = True
         upstream = self.upstreams.get(name)
         if upstream is not None:
-            upstream.pending_cancels += [r for r in upstream.journal if r.running]
+            self._cancel(upstream, [r for r in upstream.journal if r.running])
         for flow in process.flows.values():
             flow.caller_flow.broken = True
         for exchange in process.exchanges.values():
@@ -589,6 +602,10 @@
                 self._fail_peer_call(exchange.peer, gone=False)
         process.exchanges.clear()
 
+    def _cancel(self, upstream: FakeUpstream, runs: list[Run]) -> None:
+        due = self.now + self.cancel_delay
+        upstream.cancels += [Cancel(run, due) for run in runs]
+
     def freeze(self, name: str) -> None:
         """Stop a process without ending it."""
         self.nodes[name].frozen = True
@@ -690,12 +707,13 @@
             case effects.AbortUpstream(request=request):
                 upstream = self.upstreams[process.name]
                 incarnation = process.state.node.incarnation
-                upstream.pending_cancels += [
+                aborted = [
                     run
                     for run in upstream.journal
                     if (run.request, run.incarnation) == (request, incarnation)
                     and run.running
                 ]
+                self._cancel(upstream, aborted)
             case effects.Answer(answer=answer, ticket=ticket, outcome=outcome):
                 self._answer(process, exchange, outcome, answer.body, ticket, 0)
             case effects.Refuse(outcome=outcome, ticket=ticket, retry_after=pause):
@@ -791,6 +809,7 @@
     def _deliver_to_quic(self, process: ProcessFake, effect: effects.Deliver) -> None:
         packet = read_packet(effect.datagram)
         assert packet is not None
+        self._check_route(process, packet.cid)
         for flow in process.flows.values():
             if packet.cid in (flow.cid, flow.caller_flow.first_cid):
                 flow.reply_to = effect.reply_to
@@ -800,6 +819,15 @@
             return
         self._open_agent_flow(process, effect, packet.cid)
 
+    def _check_route(self, process: ProcessFake, cid: bytes) -> None:
+        """Demand that a minted ID leads to the service and the run that it names."""
+        assert isinstance(process.state, AgentState)
+        state = process.state
+        for route in KEYS.decode(cid):
+            foreign = route.service != state.service
+            if foreign or route.incarnation != state.incarnation:
+                raise OracleError(f"{process.name} took a packet of {route}")
+
     def _open_agent_flow(
         self, process: ProcessFake, effect: effects.Deliver, first_cid: bytes
     ) -> None:
@@ -879,7 +907,7 @@
     def _take_answer(self, payload: Answered) -> None:
         attempt = payload.attempt
         attempt.outcome = payload.outcome
-        attempt.answered = self.now
+        attempt.answered = next(self._order)
         attempt.body = payload.body
         attempt.ticket = payload.ticket
         attempt.retry_after = payload.retry_after
--- /dev/null
+++ b/shedsill/tests/test_guards.py
@@ -0,0 +1,372 @@
+"""Each guard of the system, taken out and put back.
+
+A scenario that passes with the guard in place has to fail without it: otherwise
+the tests would not notice that the guard had gone.  ``docs/proofs.md`` has the
+table.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+from attrs import evolve, frozen
+
+from shedsill import (
+    _agent,
+    _drain,
+    _flows,
+    _node,
+    _outcomes,
+    _requests,
+    _routing,
+)
+from shedsill._acceptance import Acceptor
+from shedsill._effects import RequestOutcome
+from shedsill._resources import Action
+from shedsill.coordination.platform import MemoryPlatform, Put, Stored
+from shedsill.tests.test_faults import (
+    Scene,
+    change,
+    check_end,
+    make_scene,
+    run_request,
+)
+
+
+@frozen
+class Guard:
+    """A guard: where it stands, and what takes its place when it is out."""
+
+    owner: object
+    name: str
+    replacement: object
+
+
+def get_ticket(scene: Scene) -> str:
+    """Return an unused ticket of the scene's agent."""
+    return run_request(scene, "first", path="/read").ticket
+
+
+def open_other_flow(scene: Scene) -> Scene:
+    """Return the same world with another flow to the same service."""
+    flow = scene.world.open_flow("dispatcher")
+    scene.world.settle(0.3)
+    return Scene(scene.world, flow)
+
+
+def repeat_runs_once(scene: Scene) -> None:
+    ticket = get_ticket(scene)
+    run_request(scene, "w", key=ticket)
+    again = run_request(open_other_flow(scene), "w", key=ticket)
+    assert again.outcome == RequestOutcome.DONE
+
+
+def unknown_never_runs_again(scene: Scene) -> None:
+    ticket = get_ticket(scene)
+    scene.world.send_request(scene.flow, "w", key=ticket)
+    scene.world.settle()
+    scene.world.finish(scene.world.list_running()[0], answered=False)
+    scene.world.settle(0.5)
+    again = run_request(open_other_flow(scene), "w", key=ticket)
+    assert again.outcome == RequestOutcome.UNKNOWN
+
+
+def refused_ticket_stays_refused(scene: Scene) -> None:
+    ticket = get_ticket(scene)
+    slow = [scene.world.send_request(scene.flow, f"slow{i}") for i in range(20)]
+    scene.world.settle()
+    scene.world.send_request(scene.flow, "w", key=ticket)
+    scene.world.settle()
+    for _ in range(20):
+        for run in scene.world.list_running():
+            scene.world.finish(run)
+        scene.world.settle(0.1)
+    assert all(attempt.outcome for attempt in slow)
+    run_request(scene, "w", key=ticket)
+
+
+def restart_never_overloads(scene: Scene) -> None:
+    scene.world.cancel_delay = 1.5
+    for index in range(2):
+        scene.world.send_request(scene.flow, f"w{index}")
+    scene.world.settle()
+    agent = scene.agent
+    scene.world.kill(agent)
+    scene.world.start_agent(agent)
+    scene.world.settle(0.2)
+    for index in range(12):
+        flow = scene.world.open_flow("dispatcher")
+        scene.world.settle(0.05)
+        if flow.cid:
+            scene.world.send_request(flow, f"v{index}")
+    scene.world.settle(0.3)
+
+
+def expired_request_frees_its_slot_late(scene: Scene) -> None:
+    for index in range(4):
+        scene.world.send_request(scene.flow, f"w{index}")
+        scene.world.settle(1.0)
+    scene.world.settle(6.0)
+
+
+def generation_never_goes_back(scene: Scene) -> None:
+    old = scene.world.nodes["b1"].state.node.configuration
+    change(scene, Action.ROTATE_KEYS)
+    scene.world.settle(4.0)
+    for process in scene.world.nodes.values():
+        process.state = _offer(process.state, old)
+        generation = process.state.node.configuration.generation
+        assert generation > old.generation
+
+
+def _offer(state, configuration):
+    node, _effects = _node.offer_configuration(state.node, configuration)
+    return evolve(state, node=node)
+
+
+def one_generation_one_configuration(scene: Scene) -> None:
+    """Two balancers that both believe that they hold the lease accept at once."""
+    world = scene.world
+    for name in ("b1", "b2"):
+        process = world.nodes[name]
+        lease = evolve(process.state.acceptor.lease, held_until=world.now + 60.0)
+        acceptor = Acceptor(lease=lease)
+        process.state = evolve(process.state, acceptor=acceptor)
+    change(scene, Action.DRAIN, "d1")
+    world.advance(0.05)
+    while world.messages and "accept" not in {
+        getattr(getattr(m, "purpose", None), "value", "") for m in world.messages
+    }:
+        world.deliver(0)
+    change(scene, Action.ROTATE_KEYS)
+    world.settle(5.0)
+    check_end(scene)
+
+
+def leaver_hands_its_record_on(scene: Scene) -> None:
+    ticket = get_ticket(scene)
+    first = run_request(scene, "w", key=ticket)
+    leaver = scene.world.nodes[scene.agent]
+    leaver.flows.clear()
+    leaver.state = evolve(leaver.state, flows=0)
+    scene.world.stop(scene.agent)
+    scene.world.settle(4.0)
+    again = run_request(open_other_flow(scene), "w", key=ticket)
+    assert again.body == first.body
+
+
+def leaver_takes_no_new_work(scene: Scene) -> None:
+    change(scene, Action.DRAIN, scene.agent)
+    scene.world.settle(3.0)
+    late = run_request(scene, "late")
+    assert late.outcome == RequestOutcome.NOT_RUN
+
+
+def silent_stream_finds_another_balancer(scene: Scene) -> None:
+    """The caller only listens; its answers went through a balancer that died."""
+    world = scene.world
+    attempt = world.send_request(scene.flow, "w")
+    world.settle()
+    agent_flow = next(iter(world.nodes[scene.agent].flows.values()))
+    dead = next(p for p in world.nodes.values() if p.address == agent_flow.reply_to)
+    world.kill(dead.name)
+    world.settle(4.0)
+    world.finish(world.list_running()[0])
+    for _ in range(3):
+        world.retransmit()
+        world.settle(0.2)
+    assert attempt.outcome == RequestOutcome.DONE
+
+
+def outage_does_not_stop_the_spread(scene: Scene) -> None:
+    change(scene, Action.ROTATE_KEYS)
+    world = scene.world
+    while max(world.accepted) < 2:
+        world.advance(0.05)
+        while world.messages and max(world.accepted) < 2:
+            world.deliver(0)
+    world.platform_down = True
+    world.settle(5.0)
+    generations = {p.state.node.configuration.generation for p in world.nodes.values()}
+    assert generations == {2}
+
+
+def dead_candidate_is_passed_over(scene: Scene) -> None:
+    world = scene.world
+    world.kill("d1")
+    flows = [world.open_flow("dispatcher") for _ in range(12)]
+    for _ in range(8):
+        world.settle(0.5)
+        world.retransmit()
+    world.settle(0.5)
+    assert all(flow.cid for flow in flows)
+
+
+def empty_platform_drains_nothing(scene: Scene) -> None:
+    world = scene.world
+    world.platform.objects.clear()
+    world.platform.revision += 1
+    world.settle(25.0, step=0.25)
+    configuration = world.nodes["b1"].state.node.configuration
+    assert {u.state.value for u in configuration.upstreams} == {"active"}
+
+
+def new_incarnation_refuses_old_ids(scene: Scene) -> None:
+    """A restarted agent must not take packets of its predecessor's flows."""
+    agent = scene.agent
+    scene.world.kill(agent)
+    scene.world.start_agent(agent)
+    scene.world.settle(3.0)
+    process = scene.world.nodes[agent]
+    scene.world.send_request(scene.flow, "old")
+    scene.world.settle(0.2)
+    assert not process.exchanges
+    assert process.state.flows == 0
+
+
+def _put_always(self: MemoryPlatform, call: Put):
+    self.revision += 1
+    current = self.objects.get((call.kind, call.name))
+    expected = current.version if current else 0
+    outcome = _original_put(self, evolve(call, expected=expected))
+    assert isinstance(outcome, Stored)
+    return outcome
+
+
+_original_put = MemoryPlatform._put
+
+
+def _forget_record(*_arguments):
+    return None
+
+
+def _keep_state(state, *_arguments, **_options):
+    return state, []
+
+
+def _settle_nothing(ledger, now):
+    del ledger, now
+    return ()
+
+
+CASES: dict[str, tuple[Guard, Callable[[Scene], None]]] = {
+    "record of outcomes": (
+        Guard(_requests, "find_record", _forget_record),
+        repeat_runs_once,
+    ),
+    "unknown is final": (
+        Guard(
+            _requests,
+            "_record_unknown",
+            lambda state, request: (
+                state
+                if request.origin is None
+                else evolve(
+                    state,
+                    ledger=evolve(
+                        state.ledger,
+                        origins=state.ledger.origins.set(
+                            request.origin, _outcomes.Origin()
+                        ),
+                    ),
+                )
+            ),
+        ),
+        unknown_never_runs_again,
+    ),
+    "refusal is final": (
+        Guard(
+            _requests,
+            "_record_refusal",
+            lambda state, request: (
+                state
+                if request.origin is None
+                else evolve(
+                    state,
+                    ledger=evolve(
+                        state.ledger,
+                        origins=state.ledger.origins.set(
+                            request.origin, _outcomes.Origin()
+                        ),
+                    ),
+                )
+            ),
+        ),
+        refused_ticket_stays_refused,
+    ),
+    "slots held after a restart": (
+        Guard(_agent, "get_longest_deadline", lambda _service: 0.0),
+        restart_never_overloads,
+    ),
+    "slot cools after an abort": (
+        Guard(
+            _requests,
+            "drop_request",
+            lambda admission, request, now, *, aborted=False: _original_drop(
+                admission, request, now
+            ),
+        ),
+        expired_request_frees_its_slot_late,
+    ),
+    "higher generation only": (
+        Guard(_node, "is_newer", lambda _offered, _current: True),
+        generation_never_goes_back,
+    ),
+    "conditional update": (
+        Guard(MemoryPlatform, "_put", _put_always),
+        one_generation_one_configuration,
+    ),
+    "record is handed on": (
+        Guard(_drain, "make_transfers", _settle_nothing),
+        leaver_hands_its_record_on,
+    ),
+    "leaver refuses new work": (
+        Guard(_agent, "update_drain", _keep_state),
+        leaver_takes_no_new_work,
+    ),
+    "reply path moves": (
+        Guard(_agent, "move_reply_paths", _keep_state),
+        silent_stream_finds_another_balancer,
+    ),
+    "generation rides on frames": (
+        Guard(_node, "note_generation", lambda spread, *_rest: (spread, None)),
+        outage_does_not_stop_the_spread,
+    ),
+    "silent candidate is skipped": (
+        Guard(_routing, "is_silent", lambda _link, _now: False),
+        dead_candidate_is_passed_over,
+    ),
+    "incarnation in the ID": (
+        Guard(
+            _flows,
+            "_reset_flow",
+            lambda _packet, frame, reply_to: [
+                _flows._deliver(frame, reply_to, fresh=True)
+            ],
+        ),
+        new_incarnation_refuses_old_ids,
+    ),
+}
+_original_drop = _requests.drop_request
+
+
+@pytest.mark.parametrize("name", sorted(CASES))
+def test_promise_holds_with_the_guard(name: str) -> None:
+    _guard, scenario = CASES[name]
+    scenario(make_scene())
+
+
+@pytest.mark.parametrize("name", sorted(CASES))
+def test_promise_fails_without_the_guard(
+    name: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    guard, scenario = CASES[name]
+    scene = make_scene()
+    monkeypatch.setattr(guard.owner, guard.name, guard.replacement)
+    with pytest.raises(AssertionError):
+        scenario(scene)
+
+
+def test_empty_platform_drains_nothing() -> None:
+    empty_platform_drains_nothing(make_scene())
