--- a/shedsill/testing/world.py
+++ b/shedsill/testing/world.py
@@ -386,6 +386,18 @@
         )
         self.nodes[name] = ProcessFake(name=name, address=node.address, state=state)
 
+    def take_over_address(self, name: str, service: str, address: Address) -> None:
+        """Start an agent of another service at the address of one that is gone."""
+        self._addresses[name] = address
+        slots = next(u.slots for u in self.upstreams.values() if u.service == service)
+        self.upstreams[name] = FakeUpstream(name=name, service=service, slots=slots)
+        self.nodes = {
+            known: process
+            for known, process in self.nodes.items()
+            if process.address != address
+        }
+        self.start_agent(name)
+
     def _list_balancer_addresses(self) -> tuple[Address, ...]:
         return tuple(
             process.address
--- a/shedsill/tests/test_faults.py
+++ b/shedsill/tests/test_faults.py
@@ -374,3 +374,40 @@
     scene.world.settle(5.0)
     nodes = scene.world.nodes.values()
     assert {p.state.node.configuration.generation for p in nodes} == {2}
+
+
+def test_address_taken_over_by_another_service_serves_no_stray_packet() -> None:
+    """The VM of d1 goes; a new agent of intake starts at its address."""
+    scene = make_scene()
+    world = scene.world
+    stray = world.open_flow("dispatcher")
+    while stray.agent != "d1":
+        stray = world.open_flow("dispatcher")
+        world.settle(0.2)
+    address = world.nodes["d1"].address
+    world.kill("d1")
+    stray.broken = False
+    world.take_over_address("i9", "intake", address)
+    attempt = world.send_request(stray, "stray")
+    for _ in range(12):
+        world.open_flow("dispatcher")
+    world.settle(1.0)
+    set_upstreams(scene, ("d2", "d3"))
+    members = tuple(
+        Upstream(name=name, address=str(world.nodes[name].address))
+        for name in ("i1", "i2", "i9")
+    )
+    world.apply(UpstreamSet(name="intake", service="intake", upstreams=members))
+    world.settle(4.0)
+    world.retransmit()
+    world.settle(2.0)
+    assert attempt.outcome is None
+    owners = {flow.caller_flow.service for flow in world.nodes["i9"].flows.values()}
+    assert owners <= {"intake"}
+    flow = world.open_flow("intake")
+    while flow.agent != "i9":
+        flow = world.open_flow("intake")
+        world.settle(0.2)
+    scene.flow = flow
+    assert run_request(scene, "right").outcome == RequestOutcome.DONE
+    stray.broken = True
--- /dev/null
+++ b/shedsill/tests/test_process_faults.py
@@ -0,0 +1,268 @@
+"""The worst cells of the fault matrix, with real processes on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+from collections.abc import Iterator
+
+import aiohttp
+import pytest
+
+from shedsill.testing.client import HttpClient, Response, open_client, wait_for_body
+from shedsill.testing.documents import make_layout
+from shedsill.testing.processes import Cluster, run_cluster
+
+SERVICE = "dispatcher"
+STREAM = "/stream?interval=0.05"
+MORE = 60
+GARBAGE = 200
+
+
+@pytest.fixture
+def cluster(tmp_path) -> Iterator[Cluster]:
+    layouts = (
+        make_layout(SERVICE, count=3, slots=3),
+        make_layout("intake", count=2, slots=3),
+    )
+    cluster = Cluster(layouts, str(tmp_path))
+    cluster.extra["balancer"] = ("--quiet", "0.5")
+    cluster.extra["agent"] = ("--idle-span", "0.3")
+    with run_cluster(cluster):
+        yield cluster
+
+
+async def expect_more(streams: list[Response]) -> None:
+    """Demand that each stream goes on from where it is."""
+    for stream in streams:
+        await wait_for_body(stream, len(stream.body) + MORE)
+        assert not stream.cut
+
+
+def open_streams(client: HttpClient, count: int) -> list[Response]:
+    return [client.open("GET", STREAM)[1] for _ in range(count)]
+
+
+def name_upstream(response: Response) -> str:
+    return response.body.split()[0].decode()
+
+
+async def withdraw(cluster: Cluster, *names: str) -> None:
+    hosts = [cluster.balancers[name].host for name in names]
+    body = {"withdrawn": hosts}
+    await cluster.fetch(f"{cluster.fabric_url}/balancers", body=body)
+
+
+def test_streams_survive_rolling_replacement(cluster: Cluster) -> None:
+    """Replace every balancer while an upstream drains and keys rotate."""
+
+    async def replace(name: str) -> None:
+        await withdraw(cluster, name)
+        cluster.processes[name].send(signal.SIGTERM)
+        assert await asyncio.to_thread(cluster.processes[name].wait) == 0
+        cluster.start_balancer(name, cluster.balancers[name])
+        await cluster.wait_ready(name)
+        await withdraw(cluster)
+
+    async def use() -> None:
+        front = cluster.fronts[SERVICE]
+        async with open_client(front) as one, open_client(front) as two:
+            streams = open_streams(one, 2) + open_streams(two, 2)
+            await expect_more(streams)
+            drained = name_upstream(streams[0])
+            await asyncio.to_thread(cluster.run_command, "drain", "--no-wait", drained)
+            for name in cluster.balancers:
+                await replace(name)
+                rotate = ("rotate-keys", "--timeout", "20")
+                await asyncio.to_thread(cluster.run_command, *rotate)
+                await expect_more(streams)
+            await asyncio.to_thread(cluster.run_command, "undrain", drained)
+            await expect_more(streams)
+        async with open_client(front) as client:
+            claim = await client.request("POST", "/claim", body=b"after")
+            assert claim.status == 200
+
+    asyncio.run(use())
+
+
+@pytest.mark.parametrize("blow", [signal.SIGKILL, signal.SIGSTOP])
+def test_streams_survive_a_dead_or_frozen_balancer(
+    cluster: Cluster, blow: signal.Signals
+) -> None:
+    async def use() -> None:
+        async with open_client(cluster.fronts[SERVICE]) as client:
+            streams = open_streams(client, 2)
+            await expect_more(streams)
+            cluster.processes["balancer-1"].send(blow)
+            await expect_more(streams)
+            await withdraw(cluster, "balancer-1")
+            await asyncio.sleep(2.5)
+            await expect_more(streams)
+            cluster.processes["balancer-1"].send(signal.SIGCONT)
+            await withdraw(cluster)
+            await expect_more(streams)
+            claim = await client.request("POST", "/claim", body=b"x")
+            assert claim.outcome == "done"
+
+    asyncio.run(use())
+
+
+def test_platform_outage_leaves_callers_and_joiners_alone(cluster: Cluster) -> None:
+    async def use() -> None:
+        cluster.processes["platform"].send(signal.SIGSTOP)
+        name = "balancer-2"
+        cluster.processes[name].send(signal.SIGKILL)
+        await asyncio.to_thread(cluster.processes[name].wait)
+        cluster.start_balancer(name, cluster.balancers[name])
+        await cluster.wait_ready(name)
+        async with open_client(cluster.fronts[SERVICE]) as client:
+            claim = await client.request("POST", "/claim", body=b"x")
+            assert claim.outcome == "done"
+        cluster.processes["platform"].send(signal.SIGCONT)
+        await asyncio.to_thread(cluster.run_command, "rotate-keys", "--timeout", "30")
+
+    asyncio.run(use())
+
+
+def test_killed_agent_never_runs_a_claim_twice(cluster: Cluster) -> None:
+    async def use() -> None:
+        front = cluster.fronts[SERVICE]
+        async with open_client(front) as client:
+            first = await client.request("GET", "/read")
+            key = {"idempotency-key": first.ticket}
+            name = name_upstream(first)
+            faults = f"{cluster.upstream_urls[name]}/faults"
+            await cluster.fetch(faults, body={"slow": 1.0})
+            client.open("POST", "/claim", body=b"once", headers=key)
+            await asyncio.sleep(0.3)
+            cluster.processes[name].send(signal.SIGKILL)
+        await cluster.fetch(faults, body={"slow": 0.0})
+        cluster.start_agent(name)
+        await cluster.wait_ready(name)
+        async with open_client(front) as client:
+            again = await client.request("POST", "/claim", body=b"once", headers=key)
+            assert (again.status, again.outcome) == (409, "unknown")
+        entries = await cluster.read_journals(SERVICE)
+        assert sum(entry["body"] == "once" for entry in entries) == 1
+
+    asyncio.run(use())
+
+
+def test_planned_stop_of_an_agent_cuts_nothing_and_hands_over(
+    cluster: Cluster,
+) -> None:
+    async def use() -> None:
+        front = cluster.fronts[SERVICE]
+        async with open_client(front) as client:
+            first = await client.request("GET", "/read")
+            key = {"idempotency-key": first.ticket}
+            name = name_upstream(first)
+            faults = f"{cluster.upstream_urls[name]}/faults"
+            await cluster.fetch(faults, body={"slow": 0.6})
+            _stream, running = client.open("POST", "/claim", body=b"once", headers=key)
+            await asyncio.sleep(0.2)
+            cluster.processes[name].send(signal.SIGTERM)
+            await wait_for_body(running, 5)
+            assert (running.status, running.outcome) == (200, "done")
+        assert await asyncio.to_thread(cluster.processes[name].wait) == 0
+        async with open_client(front) as client:
+            again = await client.request("POST", "/claim", body=b"once", headers=key)
+            assert (again.outcome, again.body) == ("done", running.body)
+        entries = await cluster.read_journals(SERVICE)
+        assert sum(entry["body"] == "once" for entry in entries) == 1
+
+    asyncio.run(use())
+
+
+def test_lossy_fabric_neither_loses_nor_doubles_claims(cluster: Cluster) -> None:
+    async def use() -> None:
+        faults = {"drop": 0.05, "duplicate": 0.1, "reorder": 0.2}
+        await cluster.fetch(f"{cluster.fabric_url}/faults", body=faults)
+        async with open_client(cluster.fronts[SERVICE]) as client:
+            for index in range(30):
+                body = f"claim-{index}".encode()
+                claim = await client.request("POST", "/claim", body=body)
+                assert claim.outcome == "done"
+                assert body in claim.body
+        entries = await cluster.read_journals(SERVICE)
+        bodies = [entry["body"] for entry in entries]
+        assert sorted(bodies) == sorted(f"claim-{index}" for index in range(30))
+
+    asyncio.run(use())
+
+
+@pytest.mark.parametrize(
+    ("fault", "status", "outcome"),
+    [("cut", 502, "unknown"), ("shed", 503, "not-run"), ("fail", 500, "done")],
+)
+def test_bad_answers_are_told_apart(
+    cluster: Cluster, fault: str, status: int, outcome: str
+) -> None:
+    async def use() -> None:
+        for url in cluster.upstream_urls.values():
+            await cluster.fetch(f"{url}/faults", body={fault: True})
+        async with open_client(cluster.fronts[SERVICE]) as client:
+            claim = await client.request("POST", "/claim", body=b"x")
+            assert (claim.status, claim.outcome) == (status, outcome)
+            assert ("retry-after" in claim.headers) == (outcome == "not-run")
+        ran = await cluster.read_journals(SERVICE)
+        assert len(ran) == (0 if outcome == "not-run" else 1)
+
+    asyncio.run(use())
+
+
+def test_upstreams_never_work_beyond_their_slots(cluster: Cluster) -> None:
+    async def use() -> None:
+        for url in cluster.upstream_urls.values():
+            await cluster.fetch(f"{url}/faults", body={"slow": 0.1})
+        async with open_client(cluster.fronts[SERVICE]) as client:
+            answers = await asyncio.gather(
+                *(client.request("POST", "/claim", body=b"x") for _ in range(60))
+            )
+        refused = [a for a in answers if a.outcome == "not-run"]
+        assert refused
+        assert all(int(a.headers["retry-after"]) >= 1 for a in refused)
+        journals = [
+            await cluster.fetch(f"{url}/journal")
+            for url in cluster.upstream_urls.values()
+        ]
+        assert max(journal["most_busy"] for journal in journals) <= 3
+        done = [a for a in answers if a.outcome == "done"]
+        assert sum(len(journal["entries"]) for journal in journals) == len(done)
+
+    asyncio.run(use())
+
+
+def test_garbage_is_counted_and_the_processes_go_on(cluster: Cluster) -> None:
+    async def read_metrics(name: str, number: int) -> float:
+        address = {**cluster.balancers, **cluster.agents}[name]
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(f"http://{address}/metrics") as response,
+        ):
+            text = await response.text()
+        wanted = f'shedsill_events_total{{event="{number}"}}'
+        return float(text.partition(wanted)[2].split()[0])
+
+    async def use() -> None:
+        port = cluster._service_ports[SERVICE]
+        sender = socket.socket(type=socket.SOCK_DGRAM)
+        balancer = cluster.balancers["balancer-1"]
+        agent = cluster.agents["dispatcher-1"]
+        for size in range(GARBAGE):
+            data = os.urandom(size * 7)
+            for target in ((balancer.host, port), balancer.pair, agent.pair):
+                sender.sendto(data, target)
+        sender.close()
+        await asyncio.sleep(0.5)
+        drops = [await read_metrics("balancer-1", n) for n in (300, 301)]
+        assert sum(drops) > GARBAGE * 0.9
+        assert await read_metrics("balancer-1", 303) > GARBAGE * 0.9
+        assert await read_metrics("dispatcher-1", 303) > GARBAGE * 0.9
+        async with open_client(cluster.fronts[SERVICE]) as client:
+            claim = await client.request("POST", "/claim", body=b"x")
+            assert claim.outcome == "done"
+
+    asyncio.run(use())
