--- a/shedsill/_cli/daemons.py
+++ b/shedsill/_cli/daemons.py
@@ -58,9 +58,25 @@
     default="",
     help="IP number for service ports; default: each service's own address.",
 )
-@click.option("--caller-rate", default="50/500", show_default=True)
-@click.option("--flow-rate", default="4000/8000", show_default=True)
-@click.option("--lease-time", type=float, default=LEASE_TIME, show_default=True)
+@click.option(
+    "--caller-rate",
+    default="50/500",
+    show_default=True,
+    help="New flows per caller IP number: PER_SECOND/BURST.",
+)
+@click.option(
+    "--flow-rate",
+    default="4000/8000",
+    show_default=True,
+    help="New flows through this balancer: PER_SECOND/BURST.",
+)
+@click.option(
+    "--lease-time",
+    type=float,
+    default=LEASE_TIME,
+    show_default=True,
+    help="Seconds after which a silent acceptor is replaced.",
+)
 @click.option(
     "--quiet",
     type=float,
@@ -77,6 +93,7 @@
         address=read_address("--address", settings["address"]),
         incarnation=draw_incarnation(),
         seeds=read_addresses("--peers", settings["peers"]),
+        zone=settings["zone"],
         service_host=settings["service_host"],
         lease_time=check_number("--lease-time", settings["lease_time"], 0.2, 3600),
         limits=FlowLimits(
@@ -102,7 +119,12 @@
     "--upstream", default="", help="Name of the upstream; default: the node's."
 )
 @click.option("--upstream-url", required=True, help="URL of the upstream beside it.")
-@click.option("--load-path", default="/load", show_default=True)
+@click.option(
+    "--load-path",
+    default="/load",
+    show_default=True,
+    help="Path that answers {busy: N}; read only after a start.",
+)
 @click.option(
     "--shed-statuses",
     default="429,503",
@@ -113,15 +135,66 @@
     "--certificate", required=True, help="PEM text, a file, or platform:NAME."
 )
 @click.option("--private-key", default="", help="PEM text or a file.")
-@click.option("--policy", default="two-candidates", show_default=True)
-@click.option("--handshake-rate", default="100/200", show_default=True)
-@click.option("--slow-start", type=float, default=10.0, show_default=True)
-@click.option("--drain-limit", type=float, default=0.0, show_default=True)
-@click.option("--cancel-grace", type=float, default=0.2, show_default=True)
-@click.option("--idle-span", type=float, default=1.0, show_default=True)
-@click.option("--breaker-failures", type=int, default=5, show_default=True)
-@click.option("--breaker-pause", type=float, default=2.0, show_default=True)
-@click.option("--retry-rate", default="1/10", show_default=True)
+@click.option(
+    "--policy",
+    default="two-candidates",
+    show_default=True,
+    help="Who takes a new flow: two-candidates or hash.",
+)
+@click.option(
+    "--handshake-rate",
+    default="100/200",
+    show_default=True,
+    help="Above this, callers prove their address: PER_SECOND/BURST.",
+)
+@click.option(
+    "--slow-start",
+    type=float,
+    default=10.0,
+    show_default=True,
+    help="Seconds over which a new agent's share of flows grows.",
+)
+@click.option(
+    "--drain-limit",
+    type=float,
+    default=0.0,
+    show_default=True,
+    help="Seconds after which a planned stop ends anyway; 0: never.",
+)
+@click.option(
+    "--cancel-grace",
+    type=float,
+    default=0.2,
+    show_default=True,
+    help="Seconds for which an aborted request keeps its slot.",
+)
+@click.option(
+    "--idle-span",
+    type=float,
+    default=1.0,
+    show_default=True,
+    help="Seconds the upstream must be seen idle after a start.",
+)
+@click.option(
+    "--breaker-failures",
+    type=int,
+    default=5,
+    show_default=True,
+    help="Failures in a row after which no new work goes out.",
+)
+@click.option(
+    "--breaker-pause",
+    type=float,
+    default=2.0,
+    show_default=True,
+    help="Seconds before one request tries a failed upstream.",
+)
+@click.option(
+    "--retry-rate",
+    default="1/10",
+    show_default=True,
+    help="Second attempts at the upstream: PER_SECOND/BURST.",
+)
 def agent(**settings: Any) -> None:
     """Run the agent beside an upstream."""
     notebook = _prepare_logging(settings)
@@ -135,6 +208,7 @@
         address=read_address("--address", settings["address"]),
         incarnation=draw_incarnation(),
         seeds=read_addresses("--peers", settings["peers"]),
+        zone=settings["zone"],
         settings=AgentSettings(
             handshakes=read_rate("--handshake-rate", settings["handshake_rate"]),
             slow_start=check_number("--slow-start", settings["slow_start"], 0, 3600),
--- a/shedsill/_cli/settings.py
+++ b/shedsill/_cli/settings.py
@@ -42,8 +42,18 @@
             "--second-secret", default="", help="Also accepted, during a replacement."
         ),
         click.option("--zone", default="", help="Availability zone of this VM."),
-        click.option("--log-level", default="INFO", show_default=True),
-        click.option("--log-format", default="text", show_default=True),
+        click.option(
+            "--log-level",
+            default="INFO",
+            show_default=True,
+            help="Lowest level that is written: TRACE to ERROR.",
+        ),
+        click.option(
+            "--log-format",
+            default="text",
+            show_default=True,
+            help="text, or json for one JSON object a line.",
+        ),
         click.option(
             "--log-sample",
             type=int,
--- a/shedsill/_runtime/agent.py
+++ b/shedsill/_runtime/agent.py
@@ -100,6 +100,7 @@
     address: Address
     incarnation: int
     seeds: tuple[Address, ...] = ()
+    zone: str = ""
     settings: AgentSettings
     admission: AdmissionSettings
     policy: Policy
@@ -180,6 +181,7 @@
         state = make_agent_state(options, keys)
         super().__init__(state, keys=keys, platform=platform, notebook=notebook)
         self._upstream = upstream
+        self._zone = options.zone
         self._certificates = certificates
         self._exchanges: dict[int, Exchange] = {}
         self.flows: FlowTable = None  # type: ignore[assignment]
@@ -230,6 +232,7 @@
         return {
             "name": state.node.name,
             "role": "agent",
+            "zone": self._zone,
             "service": state.service_name,
             "upstream": state.upstream_name,
             "generation": generation,
--- a/shedsill/_runtime/balancer.py
+++ b/shedsill/_runtime/balancer.py
@@ -46,6 +46,7 @@
     address: Address
     incarnation: int
     seeds: tuple[Address, ...] = ()
+    zone: str = ""
     service_host: str = ""
     lease_time: float = LEASE_TIME
     limits: FlowLimits
@@ -141,6 +142,7 @@
         return {
             "name": node.name,
             "role": "balancer",
+            "zone": self._options.zone,
             "generation": node.configuration.generation,
             "key_epoch": node.configuration.key_epoch,
             "ready": node.configuration.generation > 0 and not node.stopping,
--- /dev/null
+++ b/shedsill/tests/test_cli.py
@@ -0,0 +1,134 @@
+"""Settings, documents, conflicts, exit codes, and the pages held to the code."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import pathlib
+import threading
+from collections.abc import Iterator
+
+import pytest
+from aiohttp import web
+from click.testing import CliRunner, Result
+
+from shedsill import __version__
+from shedsill._catalogue import LogEvent
+from shedsill._cli import cli
+from shedsill._cli.daemons import agent, balancer
+from shedsill.errors import SettingError
+from shedsill.testing.platform import PlatformStandIn
+from shedsill.testing.ports import find_ports
+
+DOCS = pathlib.Path(__file__).parents[2] / "docs"
+SECRET = "ab" * 32
+BALANCER = {
+    "--name": "b1",
+    "--address": "127.0.0.1:7000",
+    "--platform": "http://127.0.0.1:1",
+    "--cluster-secret": SECRET,
+}
+SERVICE = "kind: Service\nname: intake\nspec: {address: '127.0.0.1:443', slots: %s}\n"
+
+
+@pytest.fixture
+def platform_url() -> Iterator[str]:
+    (port,) = find_ports(1)
+    loop = asyncio.new_event_loop()
+    runner = web.AppRunner(PlatformStandIn().make_app(), shutdown_timeout=0.1)
+
+    async def start() -> None:
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", port).start()
+
+    loop.run_until_complete(start())
+    thread = threading.Thread(target=loop.run_forever, daemon=True)
+    thread.start()
+    yield f"http://127.0.0.1:{port}"
+    asyncio.run_coroutine_threadsafe(runner.cleanup(), loop).result(5)
+    loop.call_soon_threadsafe(loop.stop)
+    thread.join(5)
+    loop.close()
+
+
+def run(*arguments: str, text: str | None = None) -> Result:
+    return CliRunner().invoke(cli, arguments, input=text)
+
+
+@pytest.mark.parametrize(
+    ("setting", "value", "allowed"),
+    [
+        ("--address", "localhost", "a port from 1 to 65535"),
+        ("--platform", "127.0.0.1", "http://"),
+        ("--cluster-secret", "12", "64 hexadecimal digits"),
+        ("--log-level", "LOUD", "one of TRACE"),
+        ("--caller-rate", "many", "PER_SECOND/BURST"),
+        ("--quiet", "-1", "a number from 0.1"),
+        ("--lease-time", "0", "a number from 0.2"),
+    ],
+)
+def test_bad_setting_is_named_with_its_value(
+    setting: str, value: str, allowed: str
+) -> None:
+    settings = {**BALANCER, setting: value}
+    result = run("balancer", *(part for pair in settings.items() for part in pair))
+    assert isinstance(result.exception, SettingError)
+    assert setting in str(result.exception)
+    assert allowed in str(result.exception)
+
+
+def test_version() -> None:
+    assert __version__ in run("--version").output
+
+
+def test_dry_run_checks_and_writes_nothing(platform_url: str) -> None:
+    good = run(
+        "apply", "--platform", platform_url, "--dry-run", "-f", "-", text=SERVICE % 3
+    )
+    assert good.exit_code == 0
+    listed = run("get", "--platform", platform_url, "-o", "json", "service")
+    assert json.loads(listed.output) == []
+    bad = run("apply", "--platform", platform_url, "-f", "-", text=SERVICE % "x")
+    assert "spec.slots" in str(bad.exception)
+    assert "a whole number" in str(bad.exception)
+
+
+def test_stale_edit_is_refused_with_both_versions(platform_url: str) -> None:
+    options = ("apply", "--platform", platform_url, "-o", "json", "-f", "-")
+    first = json.loads(run(*options, text=SERVICE % 3).output)
+    versioned = f"version: {first['version']}\n"
+    assert run(*options, text=versioned + SERVICE % 4).exit_code == 0
+    stale = run(*options, text=versioned + SERVICE % 5)
+    assert stale.exit_code == 3
+    shown = json.loads(stale.output)
+    assert shown["your_version"] == first["version"]
+    assert shown["your_spec"]["slots"] == 5
+    assert shown["stored"]["spec"]["slots"] == 4
+    assert run(*options, text=SERVICE % 4).exit_code == 0
+
+
+def test_missing_resource_and_unreachable_platform_have_their_codes(
+    platform_url: str,
+) -> None:
+    missing = run("get", "--platform", platform_url, "service", "nope")
+    assert missing.exit_code == 1
+    away = run("get", "--platform", "http://127.0.0.1:9", "service")
+    assert away.exit_code == 5
+
+
+def test_events_page_is_the_catalogue() -> None:
+    page = (DOCS / "events.md").read_text()
+    for event in LogEvent:
+        entry = event.value
+        row = f"| {entry.number} | {entry.level.value} | {event.name.lower()} | "
+        assert row + entry.text in page
+    assert page.count("\n| ") == len(LogEvent) + 2
+    numbers = [event.value.number for event in LogEvent]
+    assert len(set(numbers)) == len(numbers)
+
+
+def test_settings_page_has_every_setting() -> None:
+    page = (DOCS / "settings.md").read_text()
+    for command in (balancer, agent):
+        for parameter in command.params:
+            assert f"`{parameter.opts[0]}`" in page
