--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -7,19 +7,35 @@
 
 import click
 
-from benchmarks import agents, datapath
-from benchmarks.results import print_table, write_json
+from benchmarks import agents, datapath, overload, placement
+from benchmarks.results import Result, print_table, write_json
+
+
+def _measure_datapath() -> list[Result]:
+    results = datapath.measure_reducer() + datapath.measure_flow_state()
+    return results + asyncio.run(datapath.measure_sockets())
+
+
+def _measure_agents() -> list[Result]:
+    return asyncio.run(agents.measure_connections()) + agents.measure_latency()
+
+
+GROUPS = {
+    "datapath": _measure_datapath,
+    "agents": _measure_agents,
+    "placement": placement.measure_placement,
+    "overload": overload.measure_overload,
+}
 
 
 @click.command()
+@click.option("--only", multiple=True, type=click.Choice(list(GROUPS)))
 @click.option("--output", type=click.Path(path_type=pathlib.Path), default=None)
-def main(output: pathlib.Path | None) -> None:
+def main(only: tuple[str, ...], output: pathlib.Path | None) -> None:
     """Run every benchmark, print a table and write JSON."""
-    results = datapath.measure_reducer()
-    results += datapath.measure_flow_state()
-    results += asyncio.run(datapath.measure_sockets())
-    results += asyncio.run(agents.measure_connections())
-    results += agents.measure_latency()
+    results: list[Result] = []
+    for name in only or tuple(GROUPS):
+        results += GROUPS[name]()
     print_table(results)
     if output is not None:
         write_json(results, output)
--- /dev/null
+++ b/benchmarks/overload.py
@@ -0,0 +1,191 @@
+"""Goodput, refusals and waits at one agent, through the reducer.
+
+Requests arrive at random at several times the capacity; the upstream takes an
+exponentially distributed time for each.  The ideal is all slots always busy.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+
+from attrs import define, field
+from hdrh.histogram import HdrHistogram
+
+from benchmarks.placement import make_agent
+from benchmarks.results import Result
+from shedsill._addresses import Address
+from shedsill._agent_state import AgentState
+from shedsill._configuration import Configuration, Inputs, accept
+from shedsill._effects import Answer, RecordedAnswer, Refuse, StartUpstream
+from shedsill._events import (
+    ConfigurationOffered,
+    RequestArrived,
+    Tick,
+    UpstreamAnswered,
+    UpstreamLoadRead,
+)
+from shedsill._placement import TwoCandidates
+from shedsill._reducer import reduce
+from shedsill._resources import RequestClass, Service, Upstream, UpstreamSet
+
+SERVICE_TIME = 0.2
+SECONDS = 60.0
+LOADS = (0.5, 1.0, 2.0, 5.0)
+TICK = 0.05
+MICROSECONDS = 1e6
+CLASSES = (
+    RequestClass(name="claim", method="POST", path="/claim", deadline=5.0),
+    RequestClass(name="upload", method="POST", path="/upload", deadline=60.0),
+)
+
+
+@define
+class Counts:
+    """What became of the requests of one class."""
+
+    sent: int = 0
+    done: int = 0
+    refused: int = 0
+
+
+@define
+class Desk:
+    """One agent and its upstream in simulated time."""
+
+    load: float
+    slots: int
+    generator: random.Random
+    now: float = 1_000.0
+    busy: float = 0.0
+    events: list[tuple[float, int, str, int]] = field(factory=list)
+    arrivals: dict[int, tuple[float, str]] = field(factory=dict)
+    counts: dict[str, Counts] = field(factory=dict)
+    waits: HdrHistogram = field(factory=lambda: HdrHistogram(1, 120_000_000, 3))
+    shares: dict[str, float] = field(factory=lambda: {"claim": 0.5, "upload": 0.5})
+    state: AgentState | None = None
+    _order: itertools.count = field(factory=itertools.count)
+
+    def __attrs_post_init__(self) -> None:
+        service = Service(
+            name="s", address="10.0.0.1:443", slots=self.slots, classes=CLASSES
+        )
+        member = Upstream(name="u0", address="10.0.1.1:1000")
+        group = UpstreamSet(name="s", service="s", upstreams=(member,))
+        inputs = Inputs(services=(service,), sets=(group,))
+        configuration = accept(Configuration(), inputs).configuration
+        address = Address("10.0.1.1", 1000)
+        self.state = make_agent("u0", address, TwoCandidates(), 0.0)
+        self.dispatch(ConfigurationOffered(configuration=configuration, now=self.now))
+        for _ in range(2):
+            self.dispatch(UpstreamLoadRead(busy=0, now=self.now))
+            self.now += 2.0
+
+    def dispatch(self, event) -> None:
+        """Reduce an event and carry out what matters here."""
+        self.state, effects = reduce(self.state, event)
+        for effect in effects:
+            match effect:
+                case StartUpstream(request=request):
+                    self._start(request)
+                case Answer(request=request):
+                    self.counts[self.arrivals[request][1]].done += 1
+                case Refuse(request=request):
+                    self.counts[self.arrivals[request][1]].refused += 1
+
+    def _start(self, request: int) -> None:
+        elapsed = self.generator.expovariate(1 / SERVICE_TIME)
+        waited = self.now - self.arrivals[request][0]
+        self.waits.record_value(max(int(waited * MICROSECONDS), 1))
+        self.busy += elapsed
+        self._plan(elapsed, "end", request)
+
+    def _plan(self, delay: float, kind: str, request: int) -> None:
+        entry = (self.now + delay, next(self._order), kind, request)
+        heapq.heappush(self.events, entry)
+
+    def run(self) -> None:
+        """Play the scene to its end."""
+        start = self.now
+        numbers = itertools.count()
+        rate = self.load * self.slots / SERVICE_TIME
+        self._plan(0.0, "tick", 0)
+        self._plan(0.0, "arrive", 0)
+        while self.events[0][0] < start + SECONDS:
+            self.now, _order, kind, request = heapq.heappop(self.events)
+            match kind:
+                case "tick":
+                    self.dispatch(Tick(now=self.now, seed=0))
+                    self._plan(TICK, "tick", 0)
+                case "arrive":
+                    self._arrive(next(numbers))
+                    self._plan(self.generator.expovariate(rate), "arrive", 0)
+                case _:
+                    self._end(request)
+
+    def _arrive(self, number: int) -> None:
+        names, weights = zip(*self.shares.items(), strict=True)
+        name = self.generator.choices(names, weights)[0]
+        self.arrivals[number] = (self.now, name)
+        self.counts.setdefault(name, Counts()).sent += 1
+        self.dispatch(
+            RequestArrived(
+                request=number,
+                flow=0,
+                stream=number,
+                method="POST",
+                path=f"/{name}",
+                key="",
+                fingerprint=b"",
+                whole=True,
+                now=self.now,
+                seed=self.generator.getrandbits(16),
+            )
+        )
+
+    def _end(self, request: int) -> None:
+        answer = RecordedAnswer(status=200, headers=(), body=b"")
+        self.dispatch(
+            UpstreamAnswered(
+                request=request, answer=answer, shed=False, now=self.now, seed=0
+            )
+        )
+
+
+def measure_overload() -> list[Result]:
+    """Play each offered load."""
+    results = []
+    for load in LOADS:
+        desk = Desk(load=load, slots=3, generator=random.Random(5))
+        desk.run()
+        ideal = min(load, 1.0) * desk.slots * SECONDS / SERVICE_TIME
+        done = sum(counts.done for counts in desk.counts.values())
+        sent = sum(counts.sent for counts in desk.counts.values())
+        refused = sum(counts.refused for counts in desk.counts.values())
+        label = f"load {load:g}"
+        results += [
+            Result(f"goodput / ideal, {label}", done / ideal, ""),
+            Result(f"refused share, {label}", refused / sent, ""),
+            Result(f"wait p50, {label}", _get_wait(desk, 50), "ms"),
+            Result(f"wait p99, {label}", _get_wait(desk, 99), "ms"),
+        ]
+    return results + _measure_flood()
+
+
+def _get_wait(desk: Desk, percentile: float) -> float:
+    return desk.waits.get_value_at_percentile(percentile) / 1e3
+
+
+def _measure_flood() -> list[Result]:
+    """Flood one class at ten times the other's rate, at 5 times the capacity."""
+    desk = Desk(
+        load=5.0,
+        slots=3,
+        generator=random.Random(6),
+        shares={"claim": 0.09, "upload": 0.91},
+    )
+    desk.run()
+    claim = desk.counts["claim"]
+    share = claim.done / claim.sent
+    return [Result("claims done under a flood of uploads, load 5", share, "")]
--- /dev/null
+++ b/benchmarks/placement.py
@@ -0,0 +1,334 @@
+"""Imbalance of connections under each placement policy, through the reducers.
+
+Balancers and agents are the real states and reducers.  Each new flow goes to a
+random balancer; each balancer hears each agent's load once per lag.  Two alternatives
+choose at the balancer by what was last reported; they are measured here only.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+from attrs import define, evolve, field, frozen
+
+from benchmarks.datapath import KEYS, make_state
+from benchmarks.results import Result
+from shedsill._addresses import Address
+from shedsill._admission import Admission
+from shedsill._agent_state import AgentSettings, AgentState, get_load
+from shedsill._balancer import BalancerState
+from shedsill._configuration import Configuration, Inputs, UpstreamState, accept
+from shedsill._effects import Deliver, RefuseFlow, Send
+from shedsill._events import (
+    CallerDatagram,
+    ConfigurationOffered,
+    FlowClosed,
+    FlowOpened,
+    FrameReceived,
+)
+from shedsill._frames import Load, ToCaller, ToUpstream
+from shedsill._limits import Rate
+from shedsill._node import Node
+from shedsill._placement import HashOnly, Policy, TwoCandidates, rank_upstreams
+from shedsill._reducer import reduce
+from shedsill._resources import Action, Change, Service, Upstream, UpstreamSet
+
+PER_UPSTREAM = 800
+FLOW_RATE = 2_000.0
+BALANCERS = 3
+LAGS = (0.0, 0.1, 1.0, 5.0)
+CHURN = 0.5
+DELAY = 0.003
+UNLIMITED = Rate(per_second=1e9, burst=1e9)
+
+
+@frozen(kw_only=True)
+class LeastReported:
+    """The balancer sends each flow to the upstream with the fewest reported."""
+
+
+@frozen(kw_only=True)
+class TwoReported:
+    """The balancer chooses the lesser reported of two candidates."""
+
+
+Strategy = Policy | LeastReported | TwoReported
+STRATEGIES: dict[str, Strategy] = {
+    "hash alone": HashOnly(),
+    "least reported": LeastReported(),
+    "two candidates, reported": TwoReported(),
+    "two candidates, passed on": TwoCandidates(),
+}
+
+
+def make_service(upstreams: int, *, limit: int = 2_000, slots: int = 3) -> Inputs:
+    """Return the resources of one service."""
+    service = Service(name="s", address="10.0.0.1:443", connections=limit, slots=slots)
+    members = tuple(
+        Upstream(name=f"u{index}", address=f"10.0.1.1:{1000 + index}")
+        for index in range(upstreams)
+    )
+    group = UpstreamSet(name="s", service="s", upstreams=members)
+    return Inputs(services=(service,), sets=(group,))
+
+
+def make_agent(name: str, address: Address, policy: Policy, slow_start: float):
+    """Return an agent's state without a configuration."""
+    node = Node(name=name, address=address, balancer=False, incarnation=1)
+    return AgentState(
+        node=node,
+        keys=KEYS,
+        upstream_name=name,
+        service_name="s",
+        policy=policy,
+        settings=AgentSettings(handshakes=UNLIMITED, slow_start=slow_start),
+        admission=Admission(),
+    )
+
+
+@define
+class Field:
+    """Some balancers and agents under one strategy."""
+
+    strategy: Strategy
+    lag: float
+    generator: random.Random
+    inputs: Inputs
+    slow_start: float = 0.0
+    now: float = 1_000.0
+    configuration: Configuration = field(factory=Configuration)
+    balancers: list[BalancerState] = field(factory=list)
+    agents: dict[int, AgentState] = field(factory=dict)
+    flows: list[int] = field(factory=list)
+    reports: list[tuple[float, int, int, int, Load]] = field(factory=list)
+    refused: int = 0
+    passed: int = 0
+    _reported: dict[tuple[int, int], float] = field(factory=dict)
+    _order: itertools.count = field(factory=itertools.count)
+
+    def __attrs_post_init__(self) -> None:
+        self.configure(self.inputs)
+
+    def configure(self, inputs: Inputs) -> None:
+        """Accept resources and put them in force everywhere."""
+        self.inputs = inputs
+        self.configuration = accept(self.configuration, inputs).configuration
+        if not self.balancers:
+            self.balancers = [make_state(self.configuration) for _ in range(BALANCERS)]
+        offered = ConfigurationOffered(configuration=self.configuration, now=self.now)
+        self.balancers = [reduce(state, offered)[0] for state in self.balancers]
+        policy = self.strategy
+        if isinstance(policy, (LeastReported, TwoReported)):
+            policy = HashOnly()
+        for upstream in self.configuration.upstreams:
+            state = self.agents.get(upstream.number)
+            if state is None:
+                state = make_agent(
+                    upstream.name, upstream.socket_address, policy, self.slow_start
+                )
+            self.agents[upstream.number] = reduce(state, offered)[0]
+
+    def open_flow(self) -> None:
+        """Open one flow and let its report travel."""
+        self._deliver_reports()
+        index = self.generator.randrange(len(self.balancers))
+        cid = self.generator.randbytes(8)
+        frame = self._route(index, cid)
+        if frame is None:
+            self.refused += 1
+            return
+        for _hop in range(2):
+            number = frame.upstream
+            event = FrameReceived(
+                frame=frame, source=Address("10.0.2.1", index + 1), now=self.now
+            )
+            state, effects = reduce(self.agents[number], event)
+            self.agents[number] = state
+            sends = [e for e in effects if isinstance(e, Send)]
+            if any(isinstance(e, Deliver) for e in effects):
+                self._accept(number, index)
+                return
+            if any(isinstance(e, RefuseFlow) for e in effects) or not sends:
+                break
+            assert isinstance(sends[0].frame, ToUpstream)
+            frame = sends[0].frame
+            self.passed += 1
+        self.refused += 1
+
+    def _accept(self, number: int, balancer: int) -> None:
+        opened = FlowOpened(flow=len(self.flows), now=self.now)
+        self.agents[number] = reduce(self.agents[number], opened)[0]
+        self.flows.append(number)
+        pair = (balancer, number)
+        if self.now - self._reported.get(pair, -1.0) < self.lag:
+            return
+        self._reported[pair] = self.now
+        load = get_load(self.agents[number])
+        due = self.now + DELAY
+        entry = (due, next(self._order), balancer, number, load)
+        heapq.heappush(self.reports, entry)
+
+    def _deliver_reports(self) -> None:
+        while self.reports and self.reports[0][0] <= self.now:
+            _due, _order, balancer, number, load = heapq.heappop(self.reports)
+            self._report(balancer, number, load)
+
+    def _report(self, balancer: int, number: int, load: Load) -> None:
+        if balancer >= len(self.balancers):
+            return
+        frame = ToCaller(
+            generation=self.configuration.generation,
+            service=1,
+            upstream=number,
+            caller=Address("10.9.0.1", 1),
+            load=load,
+            datagram=b"",
+        )
+        event = FrameReceived(
+            frame=frame, source=Address("10.0.1.1", 1000), now=self.now
+        )
+        self.balancers[balancer] = reduce(self.balancers[balancer], event)[0]
+
+    def _route(self, index: int, cid: bytes) -> ToUpstream | None:
+        datagram = _make_initial(cid)
+        event = CallerDatagram(
+            service=1, caller=Address("10.9.0.1", 1), datagram=datagram, now=self.now
+        )
+        state, effects = reduce(self.balancers[index], event)
+        self.balancers[index] = state
+        frames = [e.frame for e in effects if isinstance(e, Send)]
+        if not frames:
+            return None
+        frame = frames[0]
+        assert isinstance(frame, ToUpstream)
+        target = self._choose_reported(index, cid)
+        if target is None:
+            return frame
+        return evolve(frame, upstream=target, alternate=None)
+
+    def _choose_reported(self, index: int, cid: bytes) -> int | None:
+        candidates = [
+            u for u in self.configuration.upstreams if u.state == UpstreamState.ACTIVE
+        ]
+        match self.strategy:
+            case LeastReported():
+                pass
+            case TwoReported():
+                candidates = list(rank_upstreams(candidates, 1, cid)[:2])
+            case _:
+                return None
+        links = self.balancers[index].router.links
+
+        def weigh(upstream) -> tuple[int, float]:
+            link = links.get(upstream.number)
+            flows = link.load.flows if link is not None else 0
+            return flows, self.generator.random()
+
+        return min(candidates, key=weigh).number
+
+    def close_flows(self, share: float) -> None:
+        """Close a random share of the flows."""
+        self.generator.shuffle(self.flows)
+        count = int(len(self.flows) * share)
+        closing, self.flows = self.flows[:count], self.flows[count:]
+        for number in closing:
+            closed = FlowClosed(flow=0, now=self.now)
+            self.agents[number] = reduce(self.agents[number], closed)[0]
+
+    def open_flows(self, count: int) -> None:
+        """Open flows at the scene's rate."""
+        for _ in range(count):
+            self.now += 1.0 / FLOW_RATE
+            self.open_flow()
+
+    def get_imbalance(self) -> float:
+        """Return the most flows over the mean, of upstreams that take new ones."""
+        counts = [
+            self.agents[u.number].flows
+            for u in self.configuration.upstreams
+            if u.state == UpstreamState.ACTIVE
+        ]
+        return max(counts) * len(counts) / max(sum(counts), 1)
+
+
+def _make_initial(cid: bytes) -> bytes:
+    head = bytes([0xC0, 0, 0, 0, 1, 8]) + cid + bytes([0, 0])
+    rest = 1200 - len(head) - 2
+    return head + (0x4000 | rest).to_bytes(2, "big") + bytes(rest)
+
+
+def run_steady(scene: Field, upstreams: int) -> None:
+    """Fill up, then replace half of the flows."""
+    total = upstreams * PER_UPSTREAM
+    scene.open_flows(total)
+    scene.close_flows(CHURN)
+    scene.open_flows(int(total * CHURN))
+
+
+def run_join(scene: Field, upstreams: int) -> None:
+    """One more upstream joins, cold; then as many flows come as there were."""
+    run_steady(scene, upstreams)
+    scene.configure(make_service(upstreams + 1))
+    scene.close_flows(CHURN)
+    scene.open_flows(int(upstreams * PER_UPSTREAM * CHURN))
+
+
+def run_drain(scene: Field, upstreams: int) -> None:
+    """One upstream drains; its flows come back to the others."""
+    run_steady(scene, upstreams)
+    change = Change(name="d", action=Action.DRAIN, target="u0")
+    scene.configure(evolve(scene.inputs, changes=(change,)))
+    scene.open_flows(PER_UPSTREAM)
+
+
+def run_balancer_loss(scene: Field, upstreams: int) -> None:
+    """All balancers but one die; a new one knows no load."""
+    run_steady(scene, upstreams)
+    scene.balancers = [scene.balancers[0], make_state(scene.configuration)]
+    scene.close_flows(CHURN)
+    scene.open_flows(int(upstreams * PER_UPSTREAM * CHURN))
+
+
+def run_crowd(scene: Field, upstreams: int) -> None:
+    """All callers come back within a second after an outage."""
+    scene.open_flows(10)
+    for _ in range(upstreams * PER_UPSTREAM):
+        scene.now += 1.0 / (upstreams * PER_UPSTREAM)
+        scene.open_flow()
+
+
+SCENES: dict[str, Callable[[Field, int], None]] = {
+    "steady": run_steady,
+    "join": run_join,
+    "drain": run_drain,
+    "balancers lost": run_balancer_loss,
+    "crowd": run_crowd,
+}
+
+
+def measure_placement() -> list[Result]:
+    """Measure every strategy; every scene for the one that is used."""
+    results = []
+    for (name, strategy), lag in itertools.product(STRATEGIES.items(), LAGS):
+        value = _measure(strategy, lag, "steady", 7)
+        results.append(Result(f"max/mean, steady, {name}, lag {lag:g} s", value, ""))
+    for scene, lag in itertools.product(list(SCENES)[1:], (0.1, 1.0)):
+        for upstreams in (7, 4):
+            value = _measure(TwoCandidates(), lag, scene, upstreams)
+            label = f"max/mean, {scene}, {upstreams} upstreams, lag {lag:g} s"
+            results.append(Result(label, value, ""))
+    return results
+
+
+def _measure(strategy: Strategy, lag: float, scene: str, upstreams: int) -> float:
+    playing = Field(
+        strategy=strategy,
+        lag=lag,
+        generator=random.Random(11),
+        inputs=make_service(upstreams),
+    )
+    SCENES[scene](playing, upstreams)
+    return playing.get_imbalance()
