--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -1,7 +1,7 @@
 """Imbalance of connections under each placement policy, through the reducers.
 
 Balancers and agents are the real states and reducers.  Each new flow goes to a
-random balancer; each balancer hears each agent's load once per lag.  Two alternatives
+random balancer; what it hears of a load is renewed once per lag.  Two alternatives
 choose at the balancer by what was last reported; they are measured here only.
 """
 
@@ -106,7 +106,7 @@
     reports: list[tuple[float, int, int, int, Load]] = field(factory=list)
     refused: int = 0
     passed: int = 0
-    _reported: dict[tuple[int, int], float] = field(factory=dict)
+    _reported: dict[tuple[int, int], tuple[float, Load]] = field(factory=dict)
     _order: itertools.count = field(factory=itertools.count)
 
     def __attrs_post_init__(self) -> None:
@@ -162,15 +162,20 @@
         opened = FlowOpened(flow=len(self.flows), now=self.now)
         self.agents[number] = reduce(self.agents[number], opened)[0]
         self.flows.append(number)
-        pair = (balancer, number)
-        if self.now - self._reported.get(pair, -1.0) < self.lag:
-            return
-        self._reported[pair] = self.now
-        load = get_load(self.agents[number])
+        load = self._sample_load(balancer, number)
         due = self.now + DELAY
         entry = (due, next(self._order), balancer, number, load)
         heapq.heappush(self.reports, entry)
 
+    def _sample_load(self, balancer: int, number: int) -> Load:
+        """Return the load that a frame to this balancer reports."""
+        pair = (balancer, number)
+        sampled, load = self._reported.get(pair, (-1e9, Load()))
+        if self.now - sampled >= self.lag:
+            load = get_load(self.agents[number])
+            self._reported[pair] = (self.now, load)
+        return load
+
     def _deliver_reports(self) -> None:
         while self.reports and self.reports[0][0] <= self.now:
             _due, _order, balancer, number, load = heapq.heappop(self.reports)
--- a/shedsill/_agent_state.py
+++ b/shedsill/_agent_state.py
@@ -55,6 +55,26 @@
     at: float
 
 
+@frozen(kw_only=True)
+class Hint:
+    """The freshest report of another upstream's load.
+
+    Attributes
+    ----------
+    heard : float
+        Local time at which some balancer heard it.
+    own : int
+        Flows of this agent when it learned of the report.
+    passed : int
+        Flows that this agent has passed on to it since.
+    """
+
+    load: Load
+    heard: float
+    own: int
+    passed: int = 0
+
+
 @frozen(kw_only=True)
 class Leaving:
     """How far a drain has come.
@@ -94,6 +114,10 @@
         Open connections.
     started : float
         Local time from which slow start counts.
+    decisions : Map
+        What was decided for callers' first connection IDs, for some seconds.
+    hints : Map
+        Loads of other upstreams, by number.
     reply_paths : Map
         Balancers that delivered datagrams, and when they were last heard.
     handed_to : Map
@@ -116,6 +140,7 @@
     started: float = 0.0
     next_ticket: int = 1
     decisions: immutables.Map[bytes, Placed] = field(factory=immutables.Map)
+    hints: immutables.Map[int, Hint] = field(factory=immutables.Map)
     reply_paths: immutables.Map[Address, float] = field(factory=immutables.Map)
     handed_to: immutables.Map[OutcomeKey, int] = field(factory=immutables.Map)
     handshakes: Bucket | None = None
--- a/shedsill/_flows.py
+++ b/shedsill/_flows.py
@@ -5,7 +5,7 @@
 from attrs import evolve
 
 from shedsill._addresses import Address
-from shedsill._agent_state import AgentState, Placed, get_load
+from shedsill._agent_state import AgentState, Hint, Placed, get_load
 from shedsill._catalogue import LogEvent
 from shedsill._configuration import AcceptedUpstream
 from shedsill._effects import (
@@ -19,7 +19,7 @@
     Send,
 )
 from shedsill._events import FrameReceived
-from shedsill._frames import ToUpstream
+from shedsill._frames import Candidate, ToUpstream
 from shedsill._limits import take_token
 from shedsill._packets import Packet, PacketKind, read_packet
 from shedsill._placement import SLOW_START_FLOOR, choose_alternate, rank_upstreams
@@ -30,6 +30,7 @@
 REPLY_PATH_FRESH = 1.2
 REPLY_PATH_STEP = 0.25
 MAX_DECISIONS = 20_000
+HINT_STEP = 0.001
 
 Step = tuple[AgentState, list[Effect]]
 
@@ -128,13 +129,14 @@
     warmth = get_warmth(state, event.now)
     target = None
     if not frame.passed:
-        alternate = frame.alternate
+        state, alternate = _weigh_alternate(state, frame.alternate, event.now)
         if choose_alternate(state.policy, load, alternate, warmth=warmth):
             assert alternate is not None
             target = state.node.configuration.find_upstream(alternate.upstream)
         elif not load.open:
             target = _find_other(state, packet)
     if target is not None:
+        state = _count_passed(state, target.number)
         state = _remember(state, packet, target.number, event.now)
         fields = {"upstream": target.name, "flows": load.flows}
         note = Note(event=LogEvent.FLOW_PASSED, fields=fields)
@@ -148,6 +150,37 @@
     return _keep(state, event, frame, packet, reply_to)
 
 
+def _weigh_alternate(
+    state: AgentState, candidate: Candidate | None, now: float
+) -> tuple[AgentState, Candidate | None]:
+    """Merge a balancer's report with what has happened since it was made.
+
+    The other is likely to have grown like this agent, and every agent of the
+    service to have passed on as many flows to it as this one.
+    """
+    if candidate is None:
+        return state, None
+    heard = now - candidate.age
+    hint = state.hints.get(candidate.upstream)
+    changed = hint is None or candidate.load != hint.load
+    if hint is None or (changed and heard > hint.heard + HINT_STEP):
+        hint = Hint(load=candidate.load, heard=heard, own=state.flows)
+        state = evolve(state, hints=state.hints.set(candidate.upstream, hint))
+    peers = len(state.node.configuration.list_upstreams(state.service)) - 1
+    grown = state.flows - hint.own
+    flows = hint.load.flows + grown + hint.passed * max(peers, 1)
+    load = evolve(hint.load, flows=max(flows, 0))
+    return state, evolve(candidate, load=load, age=max(now - hint.heard, 0.0))
+
+
+def _count_passed(state: AgentState, upstream: int) -> AgentState:
+    hint = state.hints.get(upstream)
+    if hint is None:
+        return state
+    hint = evolve(hint, passed=hint.passed + 1)
+    return evolve(state, hints=state.hints.set(upstream, hint))
+
+
 def _keep(
     state: AgentState,
     event: FrameReceived,
