--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -7,7 +7,7 @@
 
 import click
 
-from benchmarks import agents, datapath, overload, placement
+from benchmarks import agents, capacity, datapath, overload, placement
 from benchmarks.results import Result, print_table, write_json
 
 
@@ -25,6 +25,7 @@
     "agents": _measure_agents,
     "placement": placement.measure_placement,
     "overload": overload.measure_overload,
+    "capacity": capacity.measure_capacity,
 }
 
 
--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,186 @@
+"""Slopes from which ``docs/CAPACITY.md`` works out the size to come."""
+
+from __future__ import annotations
+
+import json
+import random
+import time
+import tracemalloc
+from collections.abc import Callable
+
+import numpy as np
+from attrs import evolve
+
+from benchmarks.datapath import KEYS, make_state
+from benchmarks.results import Result
+from shedsill._addresses import Address
+from shedsill._configuration import (
+    Configuration,
+    Inputs,
+    accept,
+    decode_configuration,
+    encode_configuration,
+)
+from shedsill._events import Tick
+from shedsill._frames import Load, NodeReport, encode_frame
+from shedsill._node import Vitals, make_heartbeat
+from shedsill._reducer import reduce
+from shedsill._resources import Service, Upstream, UpstreamSet
+from shedsill.coordination.membership import (
+    FAN_OUT,
+    REPORTS_PER_HEARTBEAT,
+    merge_reports,
+)
+
+SIZES = (50, 100, 200, 400, 800)
+PER_SERVICE = 4
+GOSSIP_SIZES = (30, 300, 3_000, 21_900)
+REPEATS = 5
+
+
+def make_inputs(upstreams: int) -> Inputs:
+    """Return services of four upstreams each."""
+    services = []
+    sets = []
+    for index in range(upstreams // PER_SERVICE):
+        name = f"service-{index}"
+        services.append(Service(name=name, address=f"10.0.0.1:{index + 1}"))
+        members = tuple(
+            Upstream(
+                name=f"{name}-{member}",
+                address=f"10.1.{index // 250}.{index % 250}:{member + 1}",
+                zone="zone-1",
+            )
+            for member in range(PER_SERVICE)
+        )
+        sets.append(UpstreamSet(name=name, service=name, upstreams=members))
+    return Inputs(services=tuple(services), sets=tuple(sets))
+
+
+def make_report(index: int) -> NodeReport:
+    """Return a report of some node."""
+    return NodeReport(
+        name=f"node-{index}",
+        address=Address("10.2.0.1", index + 1),
+        balancer=False,
+        incarnation=1,
+        beat=1,
+        generation=1,
+    )
+
+
+def _time(function: Callable[[], object]) -> float:
+    """Return the least processor time of some repeats, in seconds."""
+    best = float("inf")
+    for _ in range(REPEATS):
+        start = time.process_time()
+        function()
+        best = min(best, time.process_time() - start)
+    return best
+
+
+def _fit(name: str, sizes, values, unit: str) -> list[Result]:
+    """Fit a line; the residual is the largest miss as a share of the value."""
+    slope, offset = np.polyfit(sizes, values, 1)
+    fitted = slope * np.asarray(sizes) + offset
+    residual = float(np.max(np.abs(fitted - values) / np.abs(values)))
+    return [
+        Result(f"{name}, slope", float(slope), unit),
+        Result(f"{name}, offset", float(offset), unit),
+        Result(f"{name}, largest residual", residual * 100, "%"),
+    ]
+
+
+def measure_capacity() -> list[Result]:
+    """Measure every slope."""
+    results = _measure_configuration()
+    results += _measure_beat()
+    results += _measure_heartbeat()
+    return results + [_spread(size) for size in GOSSIP_SIZES]
+
+
+def _measure_configuration() -> list[Result]:
+    octets, accepting, decoding, memory = [], [], [], []
+    for size in SIZES:
+        inputs = make_inputs(size)
+        configuration = accept(Configuration(), inputs).configuration
+        value = encode_configuration(configuration)
+        octets.append(len(json.dumps(value)))
+        accepting.append(_time(lambda i=inputs, c=configuration: accept(c, i)) * 1e6)
+        decoding.append(_time(lambda v=value: decode_configuration(v)) * 1e6)
+        tracemalloc.start()
+        kept = decode_configuration(value)
+        memory.append(tracemalloc.get_traced_memory()[0])
+        tracemalloc.stop()
+        del kept
+    return [
+        *_fit("configuration, octets per upstream", SIZES, octets, "B"),
+        *_fit("accepting, per upstream", SIZES, accepting, "us"),
+        *_fit("decoding, per upstream", SIZES, decoding, "us"),
+        *_fit("memory of a configuration, per upstream", SIZES, memory, "B"),
+    ]
+
+
+def _measure_beat() -> list[Result]:
+    """Time one beat of a balancer against upstreams, then against members."""
+    by_upstream = []
+    for size in SIZES:
+        configuration = accept(Configuration(), make_inputs(size)).configuration
+        by_upstream.append(_time_beat(make_state(configuration)) * 1e6)
+    configuration = accept(Configuration(), make_inputs(PER_SERVICE)).configuration
+    by_member = []
+    for size in SIZES:
+        state = make_state(configuration)
+        reports = [make_report(index) for index in range(size)]
+        membership = merge_reports(state.node.membership, reports, 1.0)
+        state = evolve(state, node=evolve(state.node, membership=membership))
+        by_member.append(_time_beat(state) * 1e6)
+    return [
+        *_fit("beat of a balancer, per upstream", SIZES, by_upstream, "us"),
+        *_fit("beat of a balancer, per member", SIZES, by_member, "us"),
+    ]
+
+
+def _time_beat(state) -> float:
+    return _time(lambda: reduce(state, Tick(now=2.0, seed=1)))
+
+
+def _measure_heartbeat() -> list[Result]:
+    configuration = accept(Configuration(), make_inputs(PER_SERVICE)).configuration
+    state = make_state(configuration)
+    reports = [make_report(index) for index in range(REPORTS_PER_HEARTBEAT)]
+    membership = merge_reports(state.node.membership, reports, 1.0)
+    node = evolve(state.node, membership=membership)
+    vitals = Vitals(service=1, upstream=1, load=Load())
+    frame = make_heartbeat(node, vitals, now=1.0, seed=1, probe=True)
+    octets = len(encode_frame(KEYS, frame))
+    seconds = _time(lambda: [encode_frame(KEYS, frame) for _ in range(100)]) / 100
+    per_second = octets * FAN_OUT * 4
+    return [
+        Result("heartbeat, octets", float(octets), "B"),
+        Result("heartbeat, encoding", seconds * 1e6, "us"),
+        Result("heartbeats sent, answered and received", per_second / 1e3, "kB/s"),
+    ]
+
+
+def _spread(size: int) -> Result:
+    """Count beats until a generation has reached all of `size` nodes.
+
+    Each node sends to a few random peers once a beat, and each peer answers;
+    whoever is behind pulls.  All beats of a round count as at once.
+    """
+    worst = 0
+    for seed in range(3):
+        generator = random.Random(seed)
+        informed = bytearray(size)
+        informed[0] = 1
+        beats = 0
+        while not all(informed):
+            beats += 1
+            before = bytes(informed)
+            for node in range(size):
+                for peer in generator.choices(range(size), k=FAN_OUT):
+                    if before[node] or before[peer]:
+                        informed[node] = informed[peer] = 1
+        worst = max(worst, beats)
+    return Result(f"beats until {size} nodes have a generation", float(worst), "")
--- a/shedsill/_balancer.py
+++ b/shedsill/_balancer.py
@@ -64,7 +64,6 @@
 )
 
 PROBE_IDLE = 1.0
-MAX_PROBES = 32
 
 
 @frozen(kw_only=True)
@@ -146,13 +145,16 @@
     if event.now < state.node.next_beat:
         return state, []
     quiet = find_quiet(
-        state.router, state.node.configuration, event.now, idle=PROBE_IDLE
+        state.router,
+        state.node.configuration,
+        event.now,
+        idle=PROBE_IDLE,
+        beat=state.node.beat,
     )
-    probed = quiet[:MAX_PROBES]
     router = state.router
-    for upstream in probed:
+    for upstream in quiet:
         router = note_question(router, upstream.number, event.now)
-    addresses = [upstream.socket_address for upstream in probed]
+    addresses = [upstream.socket_address for upstream in quiet]
     node, effects = send_heartbeats(
         state.node, Vitals(), addresses, now=event.now, seed=event.seed
     )
--- a/shedsill/_configuration.py
+++ b/shedsill/_configuration.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import enum
+import functools
 import json
 from typing import Any
 
@@ -120,6 +121,9 @@
         init=False, eq=False, repr=False
     )
     _service_index: dict[int, AcceptedService] = field(init=False, eq=False, repr=False)
+    _members: dict[int, tuple[AcceptedUpstream, ...]] = field(
+        init=False, eq=False, repr=False
+    )
 
     @_upstream_index.default
     def _make_upstream_index(self) -> dict[int, AcceptedUpstream]:
@@ -129,6 +133,18 @@
     def _make_service_index(self) -> dict[int, AcceptedService]:
         return {service.number: service for service in self.services}
 
+    @_members.default
+    def _make_members(self) -> dict[int, tuple[AcceptedUpstream, ...]]:
+        members: dict[int, list[AcceptedUpstream]] = {}
+        for upstream in self.upstreams:
+            members.setdefault(upstream.service, []).append(upstream)
+        return {service: tuple(found) for service, found in members.items()}
+
+    @functools.cached_property
+    def agent_addresses(self) -> tuple[Address, ...]:
+        """Addresses of all agents."""
+        return tuple(upstream.socket_address for upstream in self.upstreams)
+
     def find_upstream(self, number: int) -> AcceptedUpstream | None:
         """Return the upstream with this number, if there is one."""
         return self._upstream_index.get(number)
@@ -151,7 +167,7 @@
 
     def list_upstreams(self, service: int) -> tuple[AcceptedUpstream, ...]:
         """Return the upstreams of a service, draining ones included."""
-        return tuple(u for u in self.upstreams if u.service == service)
+        return self._members.get(service, ())
 
 
 class VerdictKind(enum.Enum):
@@ -451,6 +467,7 @@
         _CONVERTER,
         _upstream_index=cattrs.override(omit=True),
         _service_index=cattrs.override(omit=True),
+        _members=cattrs.override(omit=True),
     ),
 )
 _CONVERTER.register_structure_hook(
--- a/shedsill/_node.py
+++ b/shedsill/_node.py
@@ -156,13 +156,10 @@
     ]
 
 
-def list_peers(node: Node, now: float) -> tuple[Address, ...]:
-    """Return all addresses to which a heartbeat may go."""
-    found = {member.report.address for member in list_live(node.membership, now)}
-    found |= {upstream.socket_address for upstream in node.configuration.upstreams}
-    found |= set(node.seeds)
-    found.discard(node.address)
-    return tuple(sorted(found))
+def list_peers(node: Node, now: float) -> tuple[tuple[Address, ...], ...]:
+    """Return the groups of addresses to which a heartbeat may go."""
+    live = tuple(member.report.address for member in list_live(node.membership, now))
+    return (live, node.configuration.agent_addresses, node.seeds)
 
 
 def hear_frame(
--- a/shedsill/_routing.py
+++ b/shedsill/_routing.py
@@ -21,6 +21,7 @@
 
 MAX_CALLER_BUCKETS = 10_000
 SILENCE_LIMIT = 0.4
+PROBE_WINDOW = 32
 
 
 @frozen(kw_only=True)
@@ -217,11 +218,20 @@
 
 
 def find_quiet(
-    router: Router, configuration: Configuration, now: float, *, idle: float
+    router: Router, configuration: Configuration, now: float, *, idle: float, beat: int
 ) -> tuple[AcceptedUpstream, ...]:
-    """Return the agents that should be probed: silent, or long not heard of."""
+    """Return agents that should be probed: silent, or long not heard of.
+
+    Each beat looks at one window of the upstreams, so that a beat takes as long
+    for many upstreams as for few.
+    """
+    upstreams = configuration.upstreams
+    start = beat * PROBE_WINDOW % max(len(upstreams), 1)
+    window = upstreams[start : start + PROBE_WINDOW]
+    if len(upstreams) <= PROBE_WINDOW:
+        window = upstreams
     quiet = []
-    for upstream in configuration.upstreams:
+    for upstream in window:
         link = router.links.get(upstream.number)
         if link is None or is_silent(link, now) or now - link.heard > idle:
             quiet.append(upstream)
--- a/shedsill/coordination/membership.py
+++ b/shedsill/coordination/membership.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import immutables
 from attrs import field, frozen
@@ -20,6 +20,8 @@
 FORGET_AFTER = 60.0
 FAN_OUT = 3
 REPORTS_PER_HEARTBEAT = 12
+DRAWS_PER_PEER = 4
+MAX_MEMBERS = 512
 
 
 @frozen(kw_only=True)
@@ -67,12 +69,15 @@
     """Take in the reports of one heartbeat.
 
     A node whose clock went back starts with a lower incarnation; it is believed
-    once the higher one has fallen silent.
+    once the higher one has fallen silent.  A view holds `MAX_MEMBERS` at most;
+    where there are more nodes it is a sample of them.
     """
     members = membership.members
     for report in reports:
         known = members.get(report.name)
         silent = known is not None and now - known.heard >= SILENT_AFTER
+        if known is None and len(members) >= MAX_MEMBERS:
+            continue
         restarted = silent and report.incarnation != known.report.incarnation
         if known is None or restarted or is_news(report, known.report):
             members = members.set(report.name, Member(report=report, heard=now))
@@ -106,8 +111,27 @@
 
 
 def choose_peers(
-    peers: Iterable[Address], own: Address, seed: int
+    groups: Sequence[Sequence[Address]], own: Address, seed: int
 ) -> tuple[Address, ...]:
-    """Choose the few peers to which this beat goes."""
-    others = sorted(set(peers) - {own})
-    return tuple(random.Random(seed).sample(others, min(len(others), FAN_OUT)))
+    """Choose the few peers to which this beat goes.
+
+    Takes as long for many peers as for few.  A peer in several groups is
+    chosen more often.
+
+    Examples
+    --------
+    >>> here, there = Address("127.0.0.1", 1), Address("127.0.0.1", 2)
+    >>> choose_peers([[here, there], []], here, seed=1)
+    (Address(host='127.0.0.1', port=2),)
+    """
+    generator = random.Random(seed)
+    filled = [group for group in groups if group]
+    chosen: set[Address] = set()
+    for _ in range(FAN_OUT * DRAWS_PER_PEER):
+        if not filled or len(chosen) == FAN_OUT:
+            break
+        group = generator.choices(filled, [len(group) for group in filled])[0]
+        peer = group[generator.randrange(len(group))]
+        if peer != own:
+            chosen.add(peer)
+    return tuple(sorted(chosen))
