--- /dev/null
+++ b/shedsill/tests/test_quic.py
@@ -0,0 +1,163 @@
+"""The pinned aioquic version keeps the private members that we replace."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import ssl
+
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.connection import QuicConnection
+
+from shedsill._keys import CONNECTION_ID_LENGTH, KeyRing, Route
+from shedsill._packets import PacketKind, read_packet
+from shedsill._runtime.certificates import CertificateLoader, parse_certificate
+from shedsill._runtime.quic import (
+    STREAM_WINDOW,
+    Minter,
+    RoutedConnection,
+    make_quic_configuration,
+    make_refusal,
+    make_stateless_reset,
+)
+from shedsill.coordination.platform import MemoryPlatform, Put
+from shedsill.testing.certificates import make_certificate
+
+KEYS = KeyRing((bytes(range(32)),))
+ROUTE = Route(7, 2, 99)
+CALLER = ("127.0.0.1", 5)
+SERVER = ("127.0.0.1", 443)
+
+
+def mint() -> bytes:
+    return KEYS.mint(ROUTE, epoch=1, nonce=os.urandom(6))
+
+
+def make_client() -> QuicConnection:
+    configuration = QuicConfiguration(
+        is_client=True, alpn_protocols=["h3"], verify_mode=ssl.CERT_NONE
+    )
+    client = QuicConnection(configuration=configuration)
+    client.connect(SERVER, now=0.0)
+    return client
+
+
+def connect() -> tuple[QuicConnection, RoutedConnection]:
+    client = make_client()
+    configuration = make_quic_configuration()
+    pair = make_certificate()
+    loaded = parse_certificate(pair.certificate, pair.private_key)
+    configuration.certificate = loaded.certificate
+    configuration.private_key = loaded.private_key
+    server = RoutedConnection(
+        minter=Minter(mint=mint, make_reset_token=KEYS.make_reset_token),
+        configuration=configuration,
+        original_destination_connection_id=client.original_destination_connection_id,
+    )
+    exchange(client, server)
+    return client, server
+
+
+def exchange(client: QuicConnection, server: RoutedConnection) -> None:
+    for _ in range(6):
+        for data, _address in client.datagrams_to_send(now=0.1):
+            server.receive_datagram(data, CALLER, now=0.1)
+        for data, _address in server.datagrams_to_send(now=0.1):
+            client.receive_datagram(data, SERVER, now=0.1)
+
+
+def test_every_id_that_the_server_issues_is_minted() -> None:
+    client, server = connect()
+    issued = [entry.cid for entry in server._host_cids]
+    assert len(issued) > 1
+    assert all(KEYS.decode(cid) == (ROUTE,) for cid in issued)
+    assert client._peer_cid.cid in issued
+    for entry in client._peer_cid_available:
+        assert KEYS.decode(entry.cid) == (ROUTE,)
+        assert entry.stateless_reset_token == KEYS.make_reset_token(entry.cid)
+
+
+def pump(client: QuicConnection, server: RoutedConnection, start: float) -> int:
+    """Let both sides talk for a while; return the octets that the server got."""
+    received = 0
+    for step in range(1_500):
+        now = start + step * 0.005
+        for side, other, address in (
+            (client, server, CALLER),
+            (server, client, SERVER),
+        ):
+            timer = side.get_timer()
+            if timer is not None and timer <= now:
+                side.handle_timer(now=now)
+            for data, _address in side.datagrams_to_send(now=now):
+                other.receive_datagram(data, address, now=now)
+        while (event := server.next_event()) is not None:
+            received += len(getattr(event, "data", b""))
+            for stream_id in server.unread:
+                server.unread[stream_id] = received
+    return received
+
+
+def test_stream_window_follows_the_reader() -> None:
+    client, server = connect()
+    stream_id = client.get_next_available_stream_id()
+    client.send_stream_data(stream_id, bytes(4 * STREAM_WINDOW))
+    server.unread[stream_id] = 0
+    held = pump(client, server, 0.2)
+    assert STREAM_WINDOW // 2 < held <= STREAM_WINDOW
+    server.unread.clear()
+    server.unread[stream_id] = 0
+    server.send_ping(1)
+    more = pump(client, server, 10.0)
+    assert STREAM_WINDOW // 2 < more <= STREAM_WINDOW
+
+
+def test_refusal_ends_a_connection_attempt() -> None:
+    client = make_client()
+    ((datagram, _address), *_rest) = client.datagrams_to_send(now=0.0)
+    packet = read_packet(datagram)
+    assert packet is not None
+    assert packet.kind == PacketKind.INITIAL
+    client.receive_datagram(make_refusal(datagram), SERVER, now=0.1)
+    assert client._close_event is not None
+
+
+def test_stateless_reset_is_short_and_smaller_than_its_cause() -> None:
+    token = bytes(range(16))
+    for size in (22, 40, 1200):
+        packet = make_stateless_reset(token, size=size, noise=os.urandom)
+        assert packet is not None
+        assert len(packet) < size
+        assert packet.endswith(token)
+        assert packet[0] & 0xC0 == 0x40
+    assert make_stateless_reset(token, size=21, noise=os.urandom) is None
+
+
+def test_id_length_is_that_of_one_block_and_one_octet() -> None:
+    assert make_quic_configuration().connection_id_length == CONNECTION_ID_LENGTH
+
+
+def test_certificate_from_the_platform_is_loaded_again_when_it_changes() -> None:
+    platform = MemoryPlatform()
+    loader = CertificateLoader("platform:service")
+
+    async def store(version: int) -> None:
+        pair = make_certificate()
+        value = {"certificate": pair.certificate, "private_key": pair.private_key}
+        call = Put(kind="certificate", name="service", value=value, expected=version)
+        await platform.call(call)
+
+    async def load() -> object:
+        _note, loaded = await loader.load(platform)
+        return loaded and loaded.certificate.serial_number
+
+    async def use() -> None:
+        assert await load() is None
+        await store(0)
+        first = await load()
+        assert first is not None
+        assert await load() is None
+        await store(1)
+        assert await load() not in (None, first)
+
+    asyncio.run(use())
