--- a/shedsill/_runtime/quic.py
+++ b/shedsill/_runtime/quic.py
@@ -33,6 +33,8 @@
 STREAM_WINDOW = 2 * MAX_HELD_BODY
 CONNECTION_WINDOW = 1_048_576
 IDLE_TIMEOUT = 60.0
+MAX_UDP_PAYLOAD = 1350
+MAX_UDP_PAYLOAD_PARAMETER = 0x03
 MIN_RESET_SIZE = 21
 MAX_RESET_SIZE = 60
 FIXED_BIT = 0x40
@@ -78,6 +80,13 @@
         self.host_cid = cid
         self._local_initial_source_connection_id = cid
 
+    def _serialize_transport_parameters(self) -> bytes:
+        """Announce the largest datagram that still fits into one frame."""
+        parameter = encode_uint_var(MAX_UDP_PAYLOAD_PARAMETER)
+        value = encode_uint_var(MAX_UDP_PAYLOAD)
+        parameter += encode_uint_var(len(value)) + value
+        return super()._serialize_transport_parameters() + parameter
+
     def _replenish_connection_ids(self) -> None:
         known = len(self._host_cids)
         super()._replenish_connection_ids()
--- a/shedsill/tests/test_process_faults.py
+++ b/shedsill/tests/test_process_faults.py
@@ -213,6 +213,48 @@
     asyncio.run(use())
 
 
+def test_stream_that_its_upstream_cuts_is_never_passed_off_as_whole(
+    cluster: Cluster,
+) -> None:
+    async def use() -> None:
+        async with open_client(cluster.fronts[SERVICE]) as client:
+            (stream,) = open_streams(client, 1)
+            await expect_more([stream])
+            name = name_upstream(stream)
+            cluster.processes[f"upstream-{name}"].send(signal.SIGKILL)
+            async with asyncio.timeout(10):
+                while not (stream.cut or stream.whole):
+                    stream.changed.clear()
+                    await stream.changed.wait()
+            assert (stream.cut, stream.whole) == (True, False)
+
+    asyncio.run(use())
+
+
+def test_callers_prove_their_address_when_handshakes_come_too_fast(
+    tmp_path,
+) -> None:
+    async def use(cluster: Cluster) -> None:
+        for _ in range(6):
+            async with open_client(cluster.fronts["intake"]) as client:
+                claim = await client.request("POST", "/claim", body=b"x")
+                assert claim.outcome == "done"
+        address = cluster.agents["intake-1"]
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(f"http://{address}/metrics") as response,
+        ):
+            text = await response.text()
+        asked = text.partition('shedsill_events_total{event="206"}')[2].split()[0]
+        assert float(asked) >= 3
+
+    layout = make_layout("intake", count=1, slots=3)
+    cluster = Cluster((layout,), str(tmp_path))
+    cluster.extra["agent"] = ("--handshake-rate", "0.01/2", "--idle-span", "0.3")
+    with run_cluster(cluster):
+        asyncio.run(use(cluster))
+
+
 def test_upstreams_never_work_beyond_their_slots(cluster: Cluster) -> None:
     async def use() -> None:
         for url in cluster.upstream_urls.values():
--- a/shedsill/tests/test_quic.py
+++ b/shedsill/tests/test_quic.py
@@ -6,13 +6,18 @@
 import os
 import ssl
 
+from aioquic.buffer import Buffer
 from aioquic.quic.configuration import QuicConfiguration
 from aioquic.quic.connection import QuicConnection
+from aioquic.quic.packet import pull_quic_transport_parameters
 
+from shedsill._addresses import Address
+from shedsill._frames import ToUpstream, encode_frame
 from shedsill._keys import CONNECTION_ID_LENGTH, KeyRing, Route
 from shedsill._packets import PacketKind, read_packet
 from shedsill._runtime.certificates import CertificateLoader, parse_certificate
 from shedsill._runtime.quic import (
+    MAX_UDP_PAYLOAD,
     STREAM_WINDOW,
     Minter,
     RoutedConnection,
@@ -133,6 +138,21 @@
     assert make_stateless_reset(token, size=21, noise=os.urandom) is None
 
 
+def test_largest_datagram_is_announced_and_fits_into_a_frame() -> None:
+    _client, server = connect()
+    buffer = Buffer(data=server._serialize_transport_parameters())
+    parameters = pull_quic_transport_parameters(buffer)
+    assert parameters.max_udp_payload_size == MAX_UDP_PAYLOAD
+    frame = ToUpstream(
+        generation=1,
+        service=1,
+        upstream=1,
+        caller=Address("255.255.255.255", 65_535),
+        datagram=bytes(MAX_UDP_PAYLOAD),
+    )
+    assert len(encode_frame(KEYS, frame)) <= 1500 - 28
+
+
 def test_id_length_is_that_of_one_block_and_one_octet() -> None:
     assert make_quic_configuration().connection_id_length == CONNECTION_ID_LENGTH
 
--- /dev/null
+++ b/shedsill/tests/test_routing.py
@@ -0,0 +1,182 @@
+"""A balancer's decisions on single datagrams."""
+
+from __future__ import annotations
+
+import os
+
+from attrs import evolve
+
+from shedsill._addresses import Address
+from shedsill._catalogue import LogEvent
+from shedsill._configuration import Configuration, Inputs, accept
+from shedsill._effects import Effect, Note, Send
+from shedsill._events import CallerDatagram
+from shedsill._frames import Load, ToUpstream
+from shedsill._keys import KeyRing, Route
+from shedsill._limits import Rate
+from shedsill._resources import Action, Change, Service, Upstream, UpstreamSet
+from shedsill._routing import (
+    FlowLimits,
+    Router,
+    note_answer,
+    note_question,
+    route_datagram,
+)
+
+KEYS = KeyRing((bytes(range(32)),))
+OLD_KEYS = KeyRing((bytes(32),))
+INPUTS = Inputs(
+    services=(
+        Service(name="dispatcher", address="10.0.0.1:443"),
+        Service(name="intake", address="10.0.0.2:443"),
+    ),
+    sets=(
+        UpstreamSet(
+            name="dispatcher",
+            service="dispatcher",
+            upstreams=(
+                Upstream(name="d1", address="10.1.0.1:7000"),
+                Upstream(name="d2", address="10.1.0.2:7000"),
+            ),
+        ),
+        UpstreamSet(
+            name="intake",
+            service="intake",
+            upstreams=(Upstream(name="i1", address="10.1.0.3:7000"),),
+        ),
+    ),
+)
+CONFIGURATION = accept(Configuration(), INPUTS).configuration
+DISPATCHER, INTAKE = 1, 2
+
+
+def make_initial(cid: bytes) -> bytes:
+    head = bytes([0xC0, 0, 0, 0, 1, len(cid)]) + cid + bytes([0, 0])
+    rest = 1200 - len(head) - 2
+    return head + (0x4000 | rest).to_bytes(2, "big") + bytes(rest)
+
+
+def make_short(upstream: int, service: int, *, keys: KeyRing = KEYS, epoch=1) -> bytes:
+    route = Route(upstream, service, 5)
+    return bytes([0x40]) + keys.mint(route, epoch=epoch, nonce=bytes(6)) + bytes(40)
+
+
+def route(
+    datagram: bytes,
+    *,
+    service: int = DISPATCHER,
+    router: Router | None = None,
+    configuration: Configuration = CONFIGURATION,
+    keys: KeyRing = KEYS,
+    host: str = "10.9.0.1",
+    now: float = 1.0,
+) -> tuple[Router, list[Effect]]:
+    event = CallerDatagram(
+        service=service, caller=Address(host, 9), datagram=datagram, now=now
+    )
+    return route_datagram(router or Router(), configuration, keys, event)
+
+
+def get_target(effects: list[Effect]) -> int | None:
+    frames = [e.frame for e in effects if isinstance(e, Send)]
+    assert all(isinstance(frame, ToUpstream) for frame in frames)
+    return frames[0].upstream if frames else None
+
+
+def get_event(effects: list[Effect]) -> LogEvent:
+    return next(e.event for e in effects if isinstance(e, Note))
+
+
+def test_minted_id_leads_to_its_agent_and_changes_no_state() -> None:
+    router = Router()
+    after, effects = route(make_short(2, DISPATCHER), router=router)
+    assert get_target(effects) == 2
+    assert after is router
+
+
+def test_id_of_another_service_is_dropped() -> None:
+    for service, upstream in ((INTAKE, 1), (DISPATCHER, 3)):
+        other = DISPATCHER if service == INTAKE else INTAKE
+        _router, effects = route(make_short(upstream, other), service=service)
+        assert get_target(effects) is None
+        assert get_event(effects) == LogEvent.DATAGRAM_MISROUTED
+
+
+def test_id_with_a_forged_service_is_dropped() -> None:
+    _router, effects = route(make_short(3, DISPATCHER))
+    assert get_target(effects) is None
+
+
+def test_garbage_short_and_unknown_are_dropped() -> None:
+    for datagram in (b"", b"\x00", os.urandom(3), bytes([0x40]) + bytes(30)):
+        _router, effects = route(datagram)
+        assert get_target(effects) is None
+    small = make_initial(b"12345678")[:600]
+    _router, effects = route(small)
+    assert get_target(effects) is None
+
+
+def test_every_balancer_sends_one_handshake_to_one_agent() -> None:
+    for _ in range(50):
+        cid = os.urandom(8)
+        targets = {get_target(route(make_initial(cid))[1]) for _ in range(3)}
+        assert len(targets) == 1
+
+
+def test_draining_upstream_gets_no_new_flow_but_keeps_its_old_ones() -> None:
+    change = Change(name="d", action=Action.DRAIN, target="d1")
+    inputs = evolve(INPUTS, changes=(change,))
+    draining = accept(CONFIGURATION, inputs).configuration
+    for _ in range(30):
+        _router, effects = route(make_initial(os.urandom(8)), configuration=draining)
+        assert get_target(effects) == 2
+    _router, effects = route(make_short(1, DISPATCHER), configuration=draining)
+    assert get_target(effects) == 1
+
+
+def test_ids_of_six_earlier_epochs_and_of_the_second_secret_are_read() -> None:
+    for epoch in range(1, 8):
+        _router, effects = route(make_short(2, DISPATCHER, epoch=epoch))
+        assert get_target(effects) == 2
+    both = KeyRing((KEYS.secrets[0], OLD_KEYS.secrets[0]))
+    old = make_short(1, DISPATCHER, keys=OLD_KEYS)
+    assert get_target(route(old)[1]) is None
+    assert get_target(route(old, keys=both)[1]) == 1
+
+
+def test_silent_agent_is_passed_over_until_it_answers() -> None:
+    datagrams = [make_initial(os.urandom(8)) for _ in range(20)]
+    router = note_question(Router(), 1, 1.0)
+    targets = {get_target(route(d, router=router, now=1.2)[1]) for d in datagrams}
+    assert targets == {1, 2}
+    targets = {get_target(route(d, router=router, now=1.5)[1]) for d in datagrams}
+    assert targets == {2}
+    router = note_answer(router, 1, Load(), 2.0)
+    targets = {get_target(route(d, router=router, now=2.1)[1]) for d in datagrams}
+    assert targets == {1, 2}
+
+
+def test_one_caller_cannot_use_up_the_others_flows() -> None:
+    limits = FlowLimits(
+        caller=Rate(per_second=1.0, burst=5.0), total=Rate(per_second=1.0, burst=50.0)
+    )
+    router = Router(limits=limits)
+    outcomes = []
+    for _ in range(20):
+        router, effects = route(make_initial(os.urandom(8)), router=router)
+        outcomes.append(get_target(effects) is not None)
+    assert outcomes == [True] * 5 + [False] * 15
+    _router, effects = route(
+        make_initial(os.urandom(8)), router=router, host="10.9.0.2"
+    )
+    assert get_target(effects) is not None
+
+
+def test_limits_leave_open_flows_alone() -> None:
+    limits = FlowLimits(
+        caller=Rate(per_second=1.0, burst=1.0), total=Rate(per_second=1.0, burst=1.0)
+    )
+    router = Router(limits=limits)
+    for _ in range(50):
+        router, effects = route(make_short(2, DISPATCHER), router=router)
+        assert get_target(effects) == 2
