--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,7 +8,7 @@
 import click
 
 from benchmarks import agents, capacity, datapath, overload, placement
-from benchmarks.results import Result, print_table, write_json
+from benchmarks.results import Result, draw_placement, print_table, write_json
 
 
 def _measure_datapath() -> list[Result]:
@@ -32,7 +32,10 @@
 @click.command()
 @click.option("--only", multiple=True, type=click.Choice(list(GROUPS)))
 @click.option("--output", type=click.Path(path_type=pathlib.Path), default=None)
-def main(only: tuple[str, ...], output: pathlib.Path | None) -> None:
+@click.option("--plot", type=click.Path(path_type=pathlib.Path), default=None)
+def main(
+    only: tuple[str, ...], output: pathlib.Path | None, plot: pathlib.Path | None
+) -> None:
     """Run every benchmark, print a table and write JSON."""
     results: list[Result] = []
     for name in only or tuple(GROUPS):
@@ -40,6 +43,8 @@
     print_table(results)
     if output is not None:
         write_json(results, output)
+    if plot is not None:
+        draw_placement(results, plot)
 
 
 if __name__ == "__main__":
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -13,7 +13,7 @@
 from attrs import define, field
 from hdrh.histogram import HdrHistogram
 
-from benchmarks.placement import make_agent
+from benchmarks.placement import Field, make_agent, make_service, run_steady
 from benchmarks.results import Result
 from shedsill._addresses import Address
 from shedsill._agent_state import AgentState
@@ -34,6 +34,9 @@
 SECONDS = 60.0
 LOADS = (0.5, 1.0, 2.0, 5.0)
 TICK = 0.05
+BALANCED_UPSTREAMS = 7
+BALANCED_LOAD = 0.7
+BALANCED_SECONDS = 600.0
 MICROSECONDS = 1e6
 CLASSES = (
     RequestClass(name="claim", method="POST", path="/claim", deadline=5.0),
@@ -65,6 +68,7 @@
     waits: HdrHistogram = field(factory=lambda: HdrHistogram(1, 120_000_000, 3))
     shares: dict[str, float] = field(factory=lambda: {"claim": 0.5, "upload": 0.5})
     state: AgentState | None = None
+    seconds: float = SECONDS
     _order: itertools.count = field(factory=itertools.count)
 
     def __attrs_post_init__(self) -> None:
@@ -112,7 +116,7 @@
         rate = self.load * self.slots / SERVICE_TIME
         self._plan(0.0, "tick", 0)
         self._plan(0.0, "arrive", 0)
-        while self.events[0][0] < start + SECONDS:
+        while self.events[0][0] < start + self.seconds:
             self.now, _order, kind, request = heapq.heappop(self.events)
             match kind:
                 case "tick":
@@ -170,7 +174,7 @@
             Result(f"wait p50, {label}", _get_wait(desk, 50), "ms"),
             Result(f"wait p99, {label}", _get_wait(desk, 99), "ms"),
         ]
-    return results + _measure_flood()
+    return results + _measure_flood() + _measure_slot_balance()
 
 
 def _get_wait(desk: Desk, percentile: float) -> float:
@@ -189,3 +193,32 @@
     claim = desk.counts["claim"]
     share = claim.done / claim.sent
     return [Result("claims done under a flood of uploads, load 5", share, "")]
+
+
+def _measure_slot_balance() -> list[Result]:
+    """Compare the busy time of seven upstreams whose flows ask for work alike.
+
+    Each upstream's share of the work is its share of the flows, as the steady
+    scene of the placement benchmark leaves them.
+    """
+    playing = Field(
+        strategy=TwoCandidates(),
+        lag=0.1,
+        generator=random.Random(11),
+        inputs=make_service(BALANCED_UPSTREAMS),
+    )
+    run_steady(playing, BALANCED_UPSTREAMS)
+    flows = [agent.flows for agent in playing.agents.values()]
+    mean = sum(flows) / len(flows)
+    busy = []
+    for index, count in enumerate(flows):
+        desk = Desk(
+            load=BALANCED_LOAD * count / mean,
+            slots=3,
+            generator=random.Random(index),
+            seconds=BALANCED_SECONDS,
+        )
+        desk.run()
+        busy.append(desk.busy)
+    ratio = max(busy) * len(busy) / sum(busy)
+    return [Result("max/mean of busy slots, steady, load 0.7", ratio, "")]
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -17,7 +17,7 @@
 from benchmarks.datapath import KEYS, make_state
 from benchmarks.results import Result
 from shedsill._addresses import Address
-from shedsill._admission import Admission
+from shedsill._admission import Admission, note_failure
 from shedsill._agent_state import AgentSettings, AgentState, get_load
 from shedsill._balancer import BalancerState
 from shedsill._configuration import Configuration, Inputs, UpstreamState, accept
@@ -325,7 +325,31 @@
             value = _measure(TwoCandidates(), lag, scene, upstreams)
             label = f"max/mean, {scene}, {upstreams} upstreams, lag {lag:g} s"
             results.append(Result(label, value, ""))
-    return results
+    return results + _measure_black_hole()
+
+
+def _measure_black_hole() -> list[Result]:
+    """Measure how many new flows go to an upstream that sheds everything."""
+    playing = Field(
+        strategy=TwoCandidates(),
+        lag=0.1,
+        generator=random.Random(11),
+        inputs=make_service(7),
+    )
+    run_steady(playing, 7)
+    hole = playing.agents[1]
+    before = hole.flows
+    admission = hole.admission
+    for _ in range(admission.settings.breaker_failures):
+        admission = note_failure(admission, playing.now)
+    playing.agents[1] = evolve(hole, admission=admission)
+    playing.open_flows(PER_UPSTREAM)
+    share = (playing.agents[1].flows - before) / PER_UPSTREAM
+    refused = playing.refused / PER_UPSTREAM
+    return [
+        Result("share of new flows to a black hole, 7 upstreams", share, ""),
+        Result("share of new flows refused beside it", refused, ""),
+    ]
 
 
 def _measure(strategy: Strategy, lag: float, scene: str, upstreams: int) -> float:
--- a/benchmarks/results.py
+++ b/benchmarks/results.py
@@ -28,3 +28,31 @@
 def write_json(results: list[Result], path: pathlib.Path) -> None:
     """Write results for programs."""
     path.write_text(json.dumps([asdict(result) for result in results], indent=1))
+
+
+def draw_placement(results: list[Result], path: pathlib.Path) -> None:
+    """Draw the imbalance of each strategy against the lag of reports."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    curves: dict[str, list[tuple[float, float]]] = {}
+    for result in results:
+        if not result.name.startswith("max/mean, steady, ") or "lag" not in result.name:
+            continue
+        strategy, _, lag = result.name.removeprefix("max/mean, steady, ").rpartition(
+            ", lag "
+        )
+        point = (float(lag.removesuffix(" s")), result.value)
+        curves.setdefault(strategy, []).append(point)
+    figure, axes = pyplot.subplots(figsize=(7, 4))
+    for strategy, points in curves.items():
+        axes.plot(*zip(*points, strict=True), marker="o", label=strategy)
+    axes.axhline(1.05, color="grey", linestyle=":", label="goal")
+    axes.set_xscale("symlog", linthresh=0.1)
+    axes.set_xlabel("lag of load reports (s)")
+    axes.set_ylabel("connections, max/mean")
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(path, dpi=100)
