--- a/shedsill/_admission.py
+++ b/shedsill/_admission.py
@@ -13,13 +13,13 @@
 import immutables
 from attrs import evolve, field, frozen
 
-from shedsill._limits import Bucket, Rate, take_token
 from shedsill._outcomes import OutcomeKey
 from shedsill._resources import RequestClass, RequestKind
 
 SMOOTHING = 0.1
 MAX_RETRY_AFTER = 60
 JITTER = 0.5
+MAX_RETRIES_LEFT = 10.0
 
 
 class Phase(enum.Enum):
@@ -93,15 +93,15 @@
         Failures in a row after which the upstream gets no new work.
     breaker_pause : float
         Seconds before one request tries it again.
-    retry_budget : Rate
-        How often requests may be sent to the upstream a second time.
+    retry_share : float
+        Second attempts allowed for each first one.
     """
 
     cancel_grace: float = 0.2
     idle_span: float = 1.0
     breaker_failures: int = 5
     breaker_pause: float = 2.0
-    retry_budget: Rate = field(factory=lambda: Rate(per_second=1.0, burst=10.0))
+    retry_share: float = 0.1
 
 
 class BreakerState(enum.Enum):
@@ -137,6 +137,8 @@
         Local time since which the upstream has shown itself idle.
     service_time : float
         Smoothed seconds that a request takes a slot.
+    retries_left : float
+        Second attempts that first ones have paid for.
     """
 
     settings: AdmissionSettings = field(factory=AdmissionSettings)
@@ -152,7 +154,7 @@
     idle_since: float | None = None
     service_time: float = 0.05
     breaker: Breaker = field(factory=Breaker)
-    budget: Bucket | None = None
+    retries_left: float = 0.0
 
 
 class Admit(enum.Enum):
@@ -280,9 +282,14 @@
 def start_request(admission: Admission, request: Request, now: float) -> Admission:
     """Count a request as running."""
     queue = tuple(n for n in admission.queue if n != request.number)
-    running = admission.running + request.takes_slot
-    streams = admission.streams + (not request.takes_slot)
-    admission = evolve(admission, queue=queue, running=running, streams=streams)
+    earned = 0.0 if request.retried else admission.settings.retry_share
+    admission = evolve(
+        admission,
+        queue=queue,
+        running=admission.running + request.takes_slot,
+        streams=admission.streams + (not request.takes_slot),
+        retries_left=min(admission.retries_left + earned, MAX_RETRIES_LEFT),
+    )
     return put_request(admission, evolve(request, phase=Phase.RUNNING, started=now))
 
 
@@ -361,10 +368,12 @@
     return admission
 
 
-def take_retry(admission: Admission, now: float) -> tuple[Admission, bool]:
-    """Take one retry from the budget, if there is one."""
-    budget, taken = take_token(admission.budget, admission.settings.retry_budget, now)
-    return evolve(admission, budget=budget), taken
+def take_retry(admission: Admission) -> tuple[Admission, bool]:
+    """Take one retry from the budget, if first attempts have paid for it."""
+    left = admission.retries_left
+    if left < 1.0:
+        return admission, False
+    return evolve(admission, retries_left=left - 1.0), True
 
 
 def note_upstream_load(admission: Admission, busy: int, now: float) -> Admission:
--- a/shedsill/_cli/daemons.py
+++ b/shedsill/_cli/daemons.py
@@ -190,10 +190,11 @@
     help="Seconds before one request tries a failed upstream.",
 )
 @click.option(
-    "--retry-rate",
-    default="1/10",
+    "--retry-share",
+    type=float,
+    default=0.1,
     show_default=True,
-    help="Second attempts at the upstream: PER_SECOND/BURST.",
+    help="Second attempts at the upstream allowed for each first one.",
 )
 def agent(**settings: Any) -> None:
     """Run the agent beside an upstream."""
@@ -250,7 +251,7 @@
         breaker_pause=check_number(
             "--breaker-pause", settings["breaker_pause"], 0.05, 3600
         ),
-        retry_budget=read_rate("--retry-rate", settings["retry_rate"]),
+        retry_share=check_number("--retry-share", settings["retry_share"], 0, 1),
     )
 
 
--- a/shedsill/_requests.py
+++ b/shedsill/_requests.py
@@ -437,7 +437,7 @@
     repeatable = request.request_class.repeatable or not event.sent
     allowed = repeatable and request.whole and not (request.retried or request.began)
     if allowed and state.leaving is None and event.now < request.expires:
-        admission, taken = take_retry(state.admission, event.now)
+        admission, taken = take_retry(state.admission)
         state = _with(state, admission)
         if taken:
             return _send_again(state, request, event)
--- a/shedsill/tests/test_admission.py
+++ b/shedsill/tests/test_admission.py
@@ -22,6 +22,7 @@
     note_upstream_load,
     queue_request,
     start_request,
+    take_retry,
     try_again,
 )
 from shedsill._resources import RequestClass
@@ -111,6 +112,17 @@
     assert len(answers) > 1
 
 
+def test_retries_add_a_tenth_to_the_load_at_most() -> None:
+    admission = make_admission()
+    retries = 0
+    for number in range(300):
+        admission = start_request(admission, make_request(number), 0.0)
+        admission = drop_request(admission, make_request(number), 0.0)
+        admission, taken = take_retry(admission)
+        retries += taken
+    assert 25 <= retries <= 30
+
+
 def test_breaker_opens_tries_once_and_closes() -> None:
     settings = AdmissionSettings(breaker_failures=3, breaker_pause=2.0)
     admission = make_admission(settings=settings)
