--- a/properties/test_world.py
+++ b/properties/test_world.py
@@ -21,7 +21,8 @@
 
 from shedsill._effects import RequestOutcome
 from shedsill._resources import Action, Change, Upstream, UpstreamSet
-from shedsill.testing.world import CallerFlow, OracleError, World
+from shedsill.testing.parts import CallerFlow
+from shedsill.testing.world import World
 
 EXAMPLES = int(os.environ.get("SHEDSILL_FUZZ_EXAMPLES", "60"))
 STEPS = int(os.environ.get("SHEDSILL_FUZZ_STEPS", "60"))
@@ -265,37 +266,8 @@
         """Heal everything: each request has an answer, and all nodes agree."""
         if not self.world.nodes:
             return
-        world = self.world
-        world.platform_down = False
-        world.lose_answers = world.stale_lists = 0
-        for name, process in list(world.nodes.items()):
-            if process.frozen:
-                world.thaw(name)
-            if process.exited and name in BALANCERS:
-                world.start_balancer(name)
-            elif process.exited:
-                world.start_agent(name)
-        for _ in range(12):
-            world.retransmit()
-            world.settle(1.0, step=0.25)
-            for run in world.list_running():
-                if run.attempt.path != "/stream":
-                    world.finish(run)
-        world.settle(40.0, step=0.25)
-        for _ in range(4):
-            world.retransmit()
-            world.settle(0.2)
-        for attempt in world.attempts:
-            flow = attempt.flow
-            if attempt.outcome is None and not flow.broken:
-                raise OracleError(f"{attempt.work} was lost without an answer")
-        generations = {
-            process.state.node.configuration.generation
-            for process in world.nodes.values()
-            if not process.exited
-        }
-        if len(generations) != 1:
-            raise OracleError(f"nodes are at generations {generations}")
+        self.world.heal()
+        self.world.check_end()
 
 
 WorldMachine.TestCase.settings = settings(
--- a/shedsill/testing/world.py
+++ b/shedsill/testing/world.py
@@ -13,7 +13,7 @@
 import random
 from collections.abc import Iterable
 
-from attrs import define, evolve, field, frozen
+from attrs import define, evolve, field
 
 from shedsill import _effects as effects
 from shedsill import _events as events
@@ -25,10 +25,9 @@
 from shedsill._configuration import Configuration
 from shedsill._effects import Effect, Header, RecordedAnswer, RequestOutcome
 from shedsill._events import Event
-from shedsill._frames import Frame, ToCaller
+from shedsill._frames import ToCaller
 from shedsill._keys import CONNECTION_ID_LENGTH, KeyRing, Route
 from shedsill._node import Node
-from shedsill._outcomes import Transfer
 from shedsill._packets import MIN_INITIAL_SIZE, read_packet
 from shedsill._peers import Handover as HandoverMessage
 from shedsill._peers import decode_handover, encode_handover
@@ -45,7 +44,6 @@
 )
 from shedsill.coordination.lease import Lease
 from shedsill.coordination.platform import (
-    Call,
     Changed,
     Delete,
     Listing,
@@ -55,6 +53,29 @@
     Unavailable,
     Watch,
 )
+from shedsill.testing.oracle import check_accepted, check_runs, check_slots
+from shedsill.testing.parts import (
+    DATAGRAMS,
+    AgentFlow,
+    Answered,
+    Attempt,
+    CallerFlow,
+    Cancel,
+    Connected,
+    Exchange,
+    FakeUpstream,
+    FrameMessage,
+    HandoverCall,
+    Message,
+    OracleError,
+    PeerCall,
+    PlatformMessage,
+    ProcessFake,
+    PullMessage,
+    Run,
+    ToBalancer,
+    ToCallerMessage,
+)
 
 KEYS = KeyRing((bytes(range(32)),))
 TICK = 0.05
@@ -65,227 +86,9 @@
     RequestClass(name="read", method="GET", path="/read", repeatable=True),
     RequestClass(name="stream", method="GET", path="/stream", kind=RequestKind.STREAM),
 )
-
-
-class OracleError(AssertionError):
-    """A promise of the system does not hold."""
-
-
-@define(eq=False)
-class Attempt:
-    """One sending of a request by a caller.
-
-    Attributes
-    ----------
-    work : str
-        The piece of work; several attempts may ask for the same one.
-    sent, answered : int
-        Places in the order of all that happened; time may stand still.
-    """
-
-    number: int
-    flow: CallerFlow
-    work: str
-    path: str
-    key: str
-    sent: int
-    arrived: bool = False
-    outcome: RequestOutcome | None = None
-    answered: int = 0
-    body: bytes = b""
-    ticket: str = ""
-    retry_after: int = 0
-
-
-@define(eq=False)
-class CallerFlow:
-    """A caller's connection."""
-
-    number: int
-    service: str
-    caller: Address
-    first_cid: bytes
-    cid: bytes = b""
-    agent: str = ""
-    broken: bool = False
-    unsent: list[Attempt] = field(factory=list)
-    attempts: list[Attempt] = field(factory=list)
-
-
-@frozen
-class Connected:
-    """The agent's answer to a first packet."""
-
-    flow: CallerFlow
-    cid: bytes
-    agent: str
-
-
-@frozen
-class Answered:
-    """The final answer to an attempt."""
-
-    attempt: Attempt
-    outcome: RequestOutcome
-    body: bytes
-    ticket: str
-    retry_after: int
-
-
-@define(eq=False)
-class AgentFlow:
-    """An agent's side of a connection."""
-
-    number: int
-    caller_flow: CallerFlow
-    cid: bytes
-    reply_to: Address
-    unacknowledged: list[Connected | Answered] = field(factory=list)
-
-
-@define(eq=False)
-class Exchange:
-    """A request at an agent: from a flow, or from a peer's call."""
-
-    number: int
-    attempt: Attempt
-    flow: AgentFlow | None = None
-    peer: PeerCall | None = None
-
-
-@define(eq=False)
-class Run:
-    """One piece of work at an upstream."""
-
-    attempt: Attempt
-    agent: str
-    incarnation: int
-    request: int
-    started: float
-    running: bool = True
-    cancelled: bool = False
-    shed: bool = False
-
-
-@frozen
-class Cancel:
-    """A closed connection that the upstream will notice at a time."""
-
-    run: Run
-    due: float
-
-
-@define(eq=False)
-class FakeUpstream:
-    """An upstream with a journal; survives its agent."""
-
-    name: str
-    service: str
-    slots: int
-    journal: list[Run] = field(factory=list)
-    cancels: list[Cancel] = field(factory=list)
-    lies_idle: bool = False
-
-    def list_running(self) -> list[Run]:
-        """Return the work in slots."""
-        return [r for r in self.journal if r.running and r.attempt.path != "/stream"]
-
-
-@define(eq=False)
-class ProcessFake:
-    """A node's process: its state, and what the runtime would keep."""
-
-    name: str
-    address: Address
-    state: AgentState | BalancerState
-    frozen: bool = False
-    exited: bool = False
-    inbox: list[Event] = field(factory=list)
-    flows: dict[int, AgentFlow] = field(factory=dict)
-    exchanges: dict[int, Exchange] = field(factory=dict)
-    numbers: itertools.count = field(factory=itertools.count)
-    highest_generation: int = 0
-
-
-@define(eq=False)
-class ToBalancer:
-    """A caller's datagram on its way to some balancer."""
-
-    flow: CallerFlow
-    datagram: bytes
-
-
-@define(eq=False)
-class FrameMessage:
-    """A frame between nodes."""
-
-    source: Address
-    destination: Address
-    frame: Frame
-
-
-@define(eq=False)
-class ToCallerMessage:
-    """A datagram on its way to a caller."""
-
-    payload: int
-
-
-@define(eq=False)
-class PlatformMessage:
-    """A call of the platform."""
-
-    node: str
-    incarnation: int
-    purpose: events.Purpose
-    call: Call
-    name: str
-    asked: float
-
-
-@define(eq=False)
-class PullMessage:
-    """A pull of a peer's configuration."""
-
-    node: str
-    peer: Address
-
-
-@define(eq=False)
-class PeerCall:
-    """A request passed to another agent, or its answer on the way back."""
-
-    node: str
-    request: int
-    incarnation: int
-    peer: Address
-    attempt: Attempt
-    answer: Answered | None = None
-    gone: bool = False
-    returning: bool = False
-
-
-@define(eq=False)
-class HandoverCall:
-    """A record on its way to a successor, or the word that it was taken."""
-
-    node: str
-    peer: Address
-    upstream: int
-    transfers: tuple[Transfer, ...]
-    returning: bool = False
-
-
-Message = (
-    ToBalancer
-    | FrameMessage
-    | ToCallerMessage
-    | PlatformMessage
-    | PullMessage
-    | PeerCall
-    | HandoverCall
-)
-DATAGRAMS = (ToBalancer, FrameMessage, ToCallerMessage)
+HEAL_ROUNDS = 8
+HEAL_STEP = 0.25
+HEAL_SECONDS = 32.0
 
 
 @define(eq=False)
@@ -1047,42 +850,47 @@
                 return
         self.dispatch(message.node, events.HandoverDone(taken=False, now=self.now))
 
-    # The oracle.
-
     def check(self) -> None:
         """Raise `OracleError` where a promise does not hold."""
-        self._check_slots()
-        self._check_runs()
-        self._check_accepted()
-
-    def _check_slots(self) -> None:
-        for upstream in self.upstreams.values():
-            busy = len(upstream.list_running())
-            if busy > upstream.slots:
-                raise OracleError(f"{upstream.name} works on {busy} requests")
-
-    def _check_runs(self) -> None:
-        runs: dict[str, list[Run]] = {}
-        for upstream in self.upstreams.values():
-            for run in upstream.journal:
-                if run.attempt.path == "/claim" and not run.shed:
-                    runs.setdefault(run.attempt.work, []).append(run)
-        for work, found in runs.items():
-            if len(found) > 1:
-                raise OracleError(f"{work} ran {len(found)} times")
-        for attempt in self.attempts:
-            refused = attempt.outcome == RequestOutcome.NOT_RUN
-            if not refused or attempt.path != "/claim":
+        check_slots(self.upstreams.values())
+        check_runs(self.upstreams.values(), self.attempts)
+        check_accepted(self.nodes.values(), self.accepted)
+
+    def heal(self) -> None:
+        """Undo all faults and let everything finish."""
+        self.platform_down = False
+        self.lose_answers = self.stale_lists = 0
+        self.platform.machines = ()
+        for name, process in list(self.nodes.items()):
+            if process.frozen:
+                self.thaw(name)
+            if not process.exited:
                 continue
-            for run in runs.get(attempt.work, []):
-                same_key = run.attempt.key == attempt.key
-                if same_key or run.attempt.sent <= attempt.answered:
-                    raise OracleError(f"{attempt.work} was refused, yet ran")
-
-    def _check_accepted(self) -> None:
-        for process in self.nodes.values():
-            configuration = process.state.node.configuration
-            known = self.accepted.setdefault(configuration.generation, configuration)
-            if known != configuration:
-                text = f"generation {configuration.generation} exists twice"
-                raise OracleError(text)
+            if isinstance(process.state, BalancerState):
+                self.start_balancer(name)
+            else:
+                self.start_agent(name)
+        for _ in range(HEAL_ROUNDS):
+            self.retransmit()
+            self.settle(1.0, step=HEAL_STEP)
+            for run in self.list_running():
+                if run.attempt.path != "/stream":
+                    self.finish(run)
+        self.settle(HEAL_SECONDS, step=HEAL_STEP)
+        for _ in range(2):
+            self.retransmit()
+            self.settle(0.5)
+
+    def check_end(self) -> None:
+        """Demand an answer to every request, and agreement between nodes."""
+        for attempt in self.attempts:
+            waiting = attempt.outcome is None and attempt.path != "/stream"
+            if waiting and not attempt.flow.broken:
+                raise OracleError(f"{attempt.work} was lost without an answer")
+        generations = {
+            process.state.node.configuration.generation
+            for process in self.nodes.values()
+            if not process.exited
+        }
+        if len(generations) != 1:
+            raise OracleError(f"nodes are at generations {generations}")
--- a/shedsill/tests/test_faults.py
+++ b/shedsill/tests/test_faults.py
@@ -272,49 +272,14 @@
 FAULTS = _collect("fault_")
 
 
-def heal(scene: Scene) -> None:
-    """Undo all faults and let everything finish."""
-    world = scene.world
-    world.platform_down = False
-    world.lose_answers = world.stale_lists = 0
-    for name, process in list(world.nodes.items()):
-        if process.frozen:
-            world.thaw(name)
-        if process.exited and name in BALANCERS:
-            world.start_balancer(name)
-        elif process.exited:
-            world.start_agent(name)
-    world.platform.machines = ()
-    for _ in range(8):
-        world.retransmit()
-        world.settle(1.0, step=0.25)
-        for run in world.list_running():
-            if run.attempt.path != "/stream":
-                world.finish(run)
-    world.settle(32.0, step=0.5)
-    world.retransmit()
-    world.settle(0.5)
-
-
-def check_end(scene: Scene) -> None:
-    """Demand an answer to every request, and agreement."""
-    world = scene.world
-    for attempt in world.attempts:
-        if not attempt.flow.broken and attempt.path != "/stream":
-            assert attempt.outcome is not None, f"{attempt.work} has no answer"
-    live = [p for p in world.nodes.values() if not p.exited]
-    generations = {p.state.node.configuration.generation for p in live}
-    assert len(generations) == 1, generations
-
-
 @pytest.mark.parametrize("fault", sorted(FAULTS))
 @pytest.mark.parametrize("step", sorted(STEPS))
 def test_promises_hold(step: str, fault: str) -> None:
     scene = make_scene()
     STEPS[step](scene)
     FAULTS[fault](scene)
-    heal(scene)
-    check_end(scene)
+    scene.world.heal()
+    scene.world.check_end()
 
 
 @pytest.mark.parametrize("step", sorted(STEPS))
--- a/shedsill/tests/test_guards.py
+++ b/shedsill/tests/test_guards.py
@@ -28,7 +28,6 @@
 from shedsill.tests.test_faults import (
     Scene,
     change,
-    check_end,
     make_scene,
     run_request,
 )
@@ -141,7 +140,7 @@
         world.deliver(0)
     change(scene, Action.ROTATE_KEYS)
     world.settle(5.0)
-    check_end(scene)
+    world.check_end()
 
 
 def leaver_hands_its_record_on(scene: Scene) -> None:
