--- a/shedsill/_requests.py
+++ b/shedsill/_requests.py
@@ -1,14 +1,8 @@
-"""What an agent does with each request, from arrival to its final answer.
-
-``not-run`` is said only where not one byte went to the upstream, or where the
-upstream itself said that it shed the request.  Once bytes went out and no whole
-answer came, the outcome is unknown.
-"""
+"""What an agent does with each request, from arrival to its final answer."""
 
 from __future__ import annotations
 
 import math
-from typing import Any
 
 from attrs import evolve
 
@@ -19,7 +13,6 @@
     choose_next,
     decide_admission,
     drop_request,
-    get_retry_after,
     note_failure,
     note_service_time,
     note_success,
@@ -33,14 +26,10 @@
 from shedsill._effects import (
     AbortUpstream,
     Answer,
-    CutAnswer,
     DeclineRequest,
     Effect,
     Note,
     PassRequest,
-    RecordedAnswer,
-    Refuse,
-    RequestOutcome,
     StartUpstream,
 )
 from shedsill._events import (
@@ -66,16 +55,30 @@
     get_local_expiry,
     has_origin,
     is_full,
-    put_record,
 )
 from shedsill._resources import RequestClass, RequestKind, match_class
+from shedsill._settling import (
+    STATUS_BAD_GATEWAY,
+    STATUS_BAD_REQUEST,
+    STATUS_CONFLICT,
+    STATUS_TIMEOUT,
+    STATUS_TOO_LARGE,
+    STATUS_UNAVAILABLE,
+    describe_request,
+    find_own_record,
+    give_up,
+    note_request,
+    put_outcome,
+    record_refusal,
+    record_unknown,
+    refuse_request,
+    say_unknown,
+    set_admission,
+    settle_done,
+    settle_relayed,
+    settle_unknown,
+)
 
-STATUS_BAD_REQUEST = 400
-STATUS_CONFLICT = 409
-STATUS_TOO_LARGE = 413
-STATUS_BAD_GATEWAY = 502
-STATUS_UNAVAILABLE = 503
-STATUS_TIMEOUT = 504
 MAX_HOPS = 2
 
 Step = tuple[AgentState, list[Effect]]
@@ -89,10 +92,10 @@
     ticket = state.keys.open_ticket(event.key)
     if ticket is None:
         reason = "Idempotency-Key is not a ticket that this service issued"
-        return state, [_refuse(state, request, STATUS_BAD_REQUEST, reason)]
+        return state, [refuse_request(state, request, STATUS_BAD_REQUEST, reason)]
     if not event.whole:
         reason = f"a body above {MAX_RECORDED_BODY} octets cannot carry a ticket"
-        return state, [_refuse(state, request, STATUS_TOO_LARGE, reason)]
+        return state, [refuse_request(state, request, STATUS_TOO_LARGE, reason)]
     return _take_ticket(state, request, ticket, event)
 
 
@@ -140,7 +143,7 @@
         return _take_unused_ticket(state, request, ticket, event)
     if record.fingerprint != request.fingerprint:
         reason = "the ticket was used for another request"
-        return state, [_refuse(state, request, STATUS_CONFLICT, reason)]
+        return state, [refuse_request(state, request, STATUS_CONFLICT, reason)]
     return _repeat(state, request, record, event)
 
 
@@ -150,16 +153,18 @@
     assert request.origin is not None
     expires = get_local_expiry(state.ledger, request.origin, ticket.expires)
     if expires <= event.now:
-        return state, [_say_unknown(request, STATUS_CONFLICT, "the ticket has expired")]
+        return state, [say_unknown(request, STATUS_CONFLICT, "the ticket has expired")]
     if is_full(state.ledger):
         refused = Refused(fingerprint=request.fingerprint, expires=expires)
-        state = _record(state, request, refused)
+        state = put_outcome(state, request, refused)
         reason = "the record of outcomes is full"
-        return state, [_refuse(state, request, STATUS_UNAVAILABLE, reason, event)]
+        return state, [
+            refuse_request(state, request, STATUS_UNAVAILABLE, reason, event)
+        ]
     running = Running(
         fingerprint=request.fingerprint, expires=expires, request=request.number
     )
-    state = _record(state, request, running)
+    state = put_outcome(state, request, running)
     return _admit(state, request, event.now, event.seed)
 
 
@@ -169,23 +174,25 @@
     """Answer a ticket that has come back."""
     match record:
         case Done(answer=answer):
-            note = _note(LogEvent.REQUEST_REPLAYED, request)
+            note = note_request(LogEvent.REQUEST_REPLAYED, request)
             effect = Answer(
                 request=request.number, answer=answer, ticket=request.ticket
             )
             return state, [note, effect]
         case MayHaveRun():
             reason = "an earlier attempt may have run"
-            return state, [_say_unknown(request, STATUS_CONFLICT, reason)]
+            return state, [say_unknown(request, STATUS_CONFLICT, reason)]
         case Refused():
             reason = "an attempt with this ticket was refused; use the new ticket"
-            return state, [_refuse(state, request, STATUS_UNAVAILABLE, reason, event)]
+            return state, [
+                refuse_request(state, request, STATUS_UNAVAILABLE, reason, event)
+            ]
         case Running():
             joined = evolve(record, waiters=(*record.waiters, request.number))
-            state = _record(state, request, joined)
+            state = put_outcome(state, request, joined)
             waiting = evolve(request, phase=Phase.JOINED)
-            state = _with(state, put_request(state.admission, waiting))
-            return state, [_note(LogEvent.REQUEST_JOINED, request)]
+            state = set_admission(state, put_request(state.admission, waiting))
+            return state, [note_request(LogEvent.REQUEST_JOINED, request)]
 
 
 def _pass_request(
@@ -197,7 +204,7 @@
     issuer = state.node.configuration.find_upstream(origin.upstream)
     if issuer is not None and issuer.service != state.service:
         reason = "Idempotency-Key is a ticket of another service"
-        return state, [_refuse(state, request, STATUS_BAD_REQUEST, reason)]
+        return state, [refuse_request(state, request, STATUS_BAD_REQUEST, reason)]
     target = state.handed_to.get(origin, origin.upstream)
     request = evolve(request, origin=origin)
     if issuer is None and target == origin.upstream:
@@ -210,13 +217,13 @@
     upstream = state.node.configuration.find_upstream(target)
     unusable = upstream is None or upstream.service != state.service
     if unusable or target == state.upstream or request.hops >= MAX_HOPS:
-        state = _with(state, drop_request(state.admission, request, 0.0))
+        state = set_admission(state, drop_request(state.admission, request, 0.0))
         reason = "the ticket's issuer is gone"
-        return state, [_say_unknown(request, STATUS_CONFLICT, reason)]
+        return state, [say_unknown(request, STATUS_CONFLICT, reason)]
     assert upstream is not None
     waiting = evolve(request, phase=Phase.PASSED, hops=request.hops + 1)
-    state = _with(state, put_request(state.admission, waiting))
-    fields = {**_describe(request), "upstream": upstream.name}
+    state = set_admission(state, put_request(state.admission, waiting))
+    fields = {**describe_request(request), "upstream": upstream.name}
     effect = PassRequest(
         request=request.number, peer=upstream.socket_address, upstream=target
     )
@@ -234,14 +241,14 @@
     request = state.admission.requests.get(event.request)
     if request is None:
         return state, []
-    state = _with(state, drop_request(state.admission, request, event.now))
+    state = set_admission(state, drop_request(state.admission, request, event.now))
     effect = Answer(
         request=request.number,
         answer=event.answer,
         ticket=request.ticket,
         outcome=event.outcome,
     )
-    return state, [_note(LogEvent.REQUEST_DONE, request), effect]
+    return state, [note_request(LogEvent.REQUEST_DONE, request), effect]
 
 
 def take_peer_failure(state: AgentState, event: PeerFailed) -> Step:
@@ -251,33 +258,33 @@
         return state, []
     if event.gone and request.origin is not None:
         return _try_successor(state, request, request.origin.upstream)
-    state = _with(state, drop_request(state.admission, request, event.now))
+    state = set_admission(state, drop_request(state.admission, request, event.now))
     reason = "the ticket's issuer did not answer"
-    return state, [_say_unknown(request, STATUS_TIMEOUT, reason)]
+    return state, [say_unknown(request, STATUS_TIMEOUT, reason)]
 
 
 def _admit(state: AgentState, request: Request, now: float, seed: int) -> Step:
     if state.leaving is not None:
-        return _give_up(state, request, "upstream is leaving", now, seed)
+        return give_up(state, request, "upstream is leaving", now, seed)
     count = len(_get_classes(state)) + 1
     admittance = decide_admission(state.admission, request, count, now)
     match admittance.decision:
         case Admit.START:
             return _start(state, request, now)
         case Admit.QUEUE:
-            state = _with(state, queue_request(state.admission, request))
-            return state, [_note(LogEvent.REQUEST_QUEUED, request)]
+            state = set_admission(state, queue_request(state.admission, request))
+            return state, [note_request(LogEvent.REQUEST_QUEUED, request)]
         case Admit.REFUSE:
-            return _give_up(state, request, admittance.reason, now, seed)
+            return give_up(state, request, admittance.reason, now, seed)
 
 
 def _start(state: AgentState, request: Request, now: float) -> Step:
-    state = _with(state, start_request(state.admission, request, now))
+    state = set_admission(state, start_request(state.admission, request, now))
     hold = request.takes_slot
     effect = StartUpstream(
         request=request.number, hold_answer=hold, ticket=request.ticket
     )
-    return state, [_note(LogEvent.REQUEST_STARTED, request), effect]
+    return state, [note_request(LogEvent.REQUEST_STARTED, request), effect]
 
 
 def start_waiting(state: AgentState, now: float, seed: int) -> Step:
@@ -286,7 +293,7 @@
     while (number := choose_next(state.admission, now)) is not None:
         request = state.admission.requests[number]
         if request.expires - now < state.admission.service_time / 2:
-            state, more = _give_up(state, request, "no time left", now, seed)
+            state, more = give_up(state, request, "no time left", now, seed)
         else:
             state, more = _start(state, request, now)
         effects += more
@@ -301,7 +308,7 @@
         if request.phase == Phase.QUEUED:
             needed = min(state.admission.service_time, request.request_class.deadline)
             if request.expires - now < needed / 2:
-                state, more = _give_up(state, request, "no time left", now, seed)
+                state, more = give_up(state, request, "no time left", now, seed)
         elif request.expires <= now:
             state, more = _expire(state, request, now)
         effects += more
@@ -309,18 +316,18 @@
 
 
 def _expire(state: AgentState, request: Request, now: float) -> Step:
-    effects: list[Effect] = [_note(LogEvent.REQUEST_EXPIRED, request)]
+    effects: list[Effect] = [note_request(LogEvent.REQUEST_EXPIRED, request)]
     aborted = request.phase == Phase.RUNNING
     if aborted:
         effects.append(AbortUpstream(request=request.number))
     if request.phase == Phase.JOINED:
         state = _leave_waiters(state, request)
     admission = drop_request(state.admission, request, now, aborted=aborted)
-    state = _with(state, admission)
+    state = set_admission(state, admission)
     if not aborted:
         reason = "no answer before the deadline"
-        return state, [*effects, _say_unknown(request, STATUS_TIMEOUT, reason)]
-    state, more = _settle_unknown(state, request, STATUS_TIMEOUT, "deadline passed")
+        return state, [*effects, say_unknown(request, STATUS_TIMEOUT, reason)]
+    state, more = settle_unknown(state, request, STATUS_TIMEOUT, "deadline passed")
     return state, effects + more
 
 
@@ -329,30 +336,32 @@
     request = state.admission.requests.get(event.request)
     if request is None:
         return state, []
-    note = _note(LogEvent.REQUEST_CANCELLED, request)
+    note = note_request(LogEvent.REQUEST_CANCELLED, request)
     if request.phase == Phase.JOINED:
         state = _leave_waiters(state, request)
-        return _with(state, drop_request(state.admission, request, event.now)), [note]
-    record = _find_own_record(state, request)
+        return set_admission(
+            state, drop_request(state.admission, request, event.now)
+        ), [note]
+    record = find_own_record(state, request)
     has_waiters = isinstance(record, Running) and bool(record.waiters)
     lost_caller = request.origin is not None and not event.deliberate
     if has_waiters or (lost_caller and request.phase != Phase.PASSED):
         return state, [note]
     aborted = request.phase == Phase.RUNNING
     admission = drop_request(state.admission, request, event.now, aborted=aborted)
-    state = _with(state, admission)
+    state = set_admission(state, admission)
     if not aborted:
-        return _record_refusal(state, request), [note]
-    state = _record_unknown(state, request)
+        return record_refusal(state, request), [note]
+    state = record_unknown(state, request)
     return state, [note, AbortUpstream(request=request.number)]
 
 
 def _leave_waiters(state: AgentState, request: Request) -> AgentState:
-    record = _find_own_record(state, request)
+    record = find_own_record(state, request)
     if not isinstance(record, Running):
         return state
     waiters = tuple(n for n in record.waiters if n != request.number)
-    return _record(state, request, evolve(record, waiters=waiters))
+    return put_outcome(state, request, evolve(record, waiters=waiters))
 
 
 def take_beginning(state: AgentState, event: UpstreamBegan) -> Step:
@@ -360,7 +369,9 @@
     request = state.admission.requests.get(event.request)
     if request is None:
         return state, []
-    return _with(state, put_request(state.admission, evolve(request, began=True))), []
+    return set_admission(
+        state, put_request(state.admission, evolve(request, began=True))
+    ), []
 
 
 def take_answer(state: AgentState, event: UpstreamAnswered) -> Step:
@@ -372,53 +383,21 @@
     admission = drop_request(admission, request, event.now)
     failed = event.shed or (event.answer is not None and event.answer.status >= 500)
     if failed:
-        state, effects = _note_failure(_with(state, admission), event.now)
+        state, effects = _note_failure(set_admission(state, admission), event.now)
     else:
-        state, effects = _note_success(_with(state, admission))
+        state, effects = _note_success(set_admission(state, admission))
     if event.shed:
         reason = "the upstream shed the request"
-        state, more = _give_up(state, request, reason, event.now, event.seed)
+        state, more = give_up(state, request, reason, event.now, event.seed)
     elif event.answer is None:
-        state, more = _settle_relayed(state, request)
+        state, more = settle_relayed(state, request)
     else:
-        state, more = _settle_done(state, request, event.answer)
+        state, more = settle_done(state, request, event.answer)
     effects += more
     state, more = start_waiting(state, event.now, event.seed)
     return state, effects + more
 
 
-def _settle_relayed(state: AgentState, request: Request) -> Step:
-    """Close the record of an answer that was too long to be kept."""
-    waiters = _get_waiters(state, request)
-    state = _record_unknown(state, request)
-    effects: list[Effect] = [_note(LogEvent.REQUEST_DONE, request)]
-    for number in waiters:
-        state, waiter = _take_out(state, number)
-        if waiter is not None:
-            reason = "the request ran; its answer was too long to be kept"
-            effects.append(_say_unknown(waiter, STATUS_CONFLICT, reason))
-    return state, effects
-
-
-def _settle_done(state: AgentState, request: Request, answer: RecordedAnswer) -> Step:
-    waiters = _get_waiters(state, request)
-    record = _find_own_record(state, request)
-    if record is not None:
-        small = len(answer.body) <= MAX_RECORDED_BODY
-        settled = (
-            Done(fingerprint=record.fingerprint, expires=record.expires, answer=answer)
-            if small
-            else MayHaveRun(fingerprint=record.fingerprint, expires=record.expires)
-        )
-        state = _record(state, request, settled)
-    effects: list[Effect] = [_note(LogEvent.REQUEST_DONE, request)]
-    for number in (request.number, *waiters):
-        state, waiter = _take_out(state, number)
-        ticket = waiter.ticket if waiter else request.ticket
-        effects.append(Answer(request=number, answer=answer, ticket=ticket))
-    return state, effects
-
-
 def take_failure(state: AgentState, event: UpstreamFailed) -> Step:
     """Go on after the upstream gave no whole answer."""
     request = state.admission.requests.get(event.request)
@@ -438,16 +417,16 @@
     allowed = repeatable and request.whole and not (request.retried or request.began)
     if allowed and state.leaving is None and event.now < request.expires:
         admission, taken = take_retry(state.admission)
-        state = _with(state, admission)
+        state = set_admission(state, admission)
         if taken:
             return _send_again(state, request, event)
     admission = drop_request(state.admission, request, event.now, aborted=event.sent)
-    state = _with(state, admission)
+    state = set_admission(state, admission)
     if not event.sent:
         reason = "the upstream could not be reached"
-        return _give_up(state, request, reason, event.now, event.seed)
+        return give_up(state, request, reason, event.now, event.seed)
     reason = "the upstream gave no whole answer"
-    return _settle_unknown(state, request, STATUS_BAD_GATEWAY, reason)
+    return settle_unknown(state, request, STATUS_BAD_GATEWAY, reason)
 
 
 def _send_again(state: AgentState, request: Request, event: UpstreamFailed) -> Step:
@@ -455,13 +434,13 @@
     admission = drop_request(state.admission, request, event.now, aborted=event.sent)
     sent = request.sent or event.sent
     again = evolve(request, retried=True, sent=sent, phase=Phase.QUEUED)
-    state = _with(state, queue_request(admission, again))
-    return state, [_note(LogEvent.REQUEST_RETRIED, request)]
+    state = set_admission(state, queue_request(admission, again))
+    return state, [note_request(LogEvent.REQUEST_RETRIED, request)]
 
 
 def _note_failure(state: AgentState, now: float) -> Step:
     before = state.admission.breaker.state
-    state = _with(state, note_failure(state.admission, now))
+    state = set_admission(state, note_failure(state.admission, now))
     if state.admission.breaker.state == before:
         return state, []
     fields = {"failures": state.admission.breaker.failures}
@@ -471,142 +450,7 @@
 def _note_success(state: AgentState) -> Step:
     settings = state.admission.settings
     was_broken = state.admission.breaker.failures >= settings.breaker_failures
-    state = _with(state, note_success(state.admission))
+    state = set_admission(state, note_success(state.admission))
     if not was_broken:
         return state, []
     return state, [Note(event=LogEvent.BREAKER_CLOSED, fields={})]
-
-
-def _give_up(
-    state: AgentState, request: Request, reason: str, now: float, seed: int
-) -> Step:
-    """Refuse a request, as not run if nothing of it reached the upstream."""
-    if request.sent:
-        state = _with(state, drop_request(state.admission, request, now))
-        return _settle_unknown(state, request, STATUS_BAD_GATEWAY, reason)
-    retry_after = get_retry_after(state.admission, now, seed)
-    state = _with(state, drop_request(state.admission, request, now))
-    waiters = _get_waiters(state, request)
-    state = _record_refusal(state, request)
-    effects: list[Effect] = []
-    for number in (request.number, *waiters):
-        state, waiter = _take_out(state, number)
-        refused = waiter or evolve(request, number=number)
-        fields = {**_describe(refused), "reason": reason}
-        effects.append(Note(event=LogEvent.REQUEST_REFUSED, fields=fields))
-        effects.append(
-            Refuse(
-                request=number,
-                status=STATUS_UNAVAILABLE,
-                outcome=RequestOutcome.NOT_RUN,
-                reason=reason,
-                ticket=refused.ticket,
-                retry_after=retry_after,
-            )
-        )
-    return state, effects
-
-
-def _settle_unknown(
-    state: AgentState, request: Request, status: int, reason: str
-) -> Step:
-    """Say that a request may have run, to its caller and all who repeated it."""
-    waiters = _get_waiters(state, request)
-    state = _record_unknown(state, request)
-    if request.began:
-        effects: list[Effect] = [
-            _note(LogEvent.ANSWER_CUT, request),
-            CutAnswer(request=request.number),
-        ]
-    else:
-        effects = [
-            _note(LogEvent.REQUEST_UNKNOWN, request),
-            _say_unknown(request, status, reason),
-        ]
-    for number in waiters:
-        state, waiter = _take_out(state, number)
-        if waiter is not None:
-            effects.append(_say_unknown(waiter, status, reason))
-    return state, effects
-
-
-def _get_waiters(state: AgentState, request: Request) -> tuple[int, ...]:
-    record = _find_own_record(state, request)
-    return record.waiters if isinstance(record, Running) else ()
-
-
-def _take_out(state: AgentState, number: int) -> tuple[AgentState, Request | None]:
-    request = state.admission.requests.get(number)
-    if request is None:
-        return state, None
-    return _with(state, drop_request(state.admission, request, 0.0)), request
-
-
-def _find_own_record(state: AgentState, request: Request) -> Record | None:
-    if request.origin is None:
-        return None
-    return find_record(state.ledger, request.origin, request.ticket_number)
-
-
-def _record(state: AgentState, request: Request, record: Record) -> AgentState:
-    assert request.origin is not None
-    ledger = put_record(state.ledger, request.origin, request.ticket_number, record)
-    return evolve(state, ledger=ledger)
-
-
-def _record_refusal(state: AgentState, request: Request) -> AgentState:
-    record = _find_own_record(state, request)
-    if record is None:
-        return state
-    refused = Refused(fingerprint=record.fingerprint, expires=record.expires)
-    return _record(state, request, refused)
-
-
-def _record_unknown(state: AgentState, request: Request) -> AgentState:
-    record = _find_own_record(state, request)
-    if record is None:
-        return state
-    unknown = MayHaveRun(fingerprint=record.fingerprint, expires=record.expires)
-    return _record(state, request, unknown)
-
-
-def _with(state: AgentState, admission: Any) -> AgentState:
-    return evolve(state, admission=admission)
-
-
-def _refuse(
-    state: AgentState,
-    request: Request,
-    status: int,
-    reason: str,
-    event: RequestArrived | None = None,
-) -> Refuse:
-    retry_after = 0
-    if event is not None:
-        retry_after = get_retry_after(state.admission, event.now, event.seed)
-    return Refuse(
-        request=request.number,
-        status=status,
-        outcome=RequestOutcome.NOT_RUN,
-        reason=reason,
-        ticket=request.ticket,
-        retry_after=retry_after,
-    )
-
-
-def _say_unknown(request: Request, status: int, reason: str) -> Refuse:
-    return Refuse(
-        request=request.number,
-        status=status,
-        outcome=RequestOutcome.UNKNOWN,
-        reason=reason,
-        ticket=request.ticket,
-    )
-
-
-def _describe(request: Request) -> dict[str, Any]:
-    return {"request": request.number, "class": request.request_class.name}
-
-
-def _note(event: LogEvent, request: Request) -> Note:
-    return Note(event=event, fields=_describe(request))
--- /dev/null
+++ b/shedsill/_settling.py
@@ -0,0 +1,230 @@
+"""How a request gets its final answer, and its ticket its record.
+
+``not-run`` is said only where not one byte went to the upstream, or where the
+upstream itself said that it shed the request.  Once bytes went out and no whole
+answer came, the outcome is unknown.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from attrs import evolve
+
+from shedsill._admission import (
+    Request,
+    drop_request,
+    get_retry_after,
+)
+from shedsill._agent_state import AgentState
+from shedsill._catalogue import LogEvent
+from shedsill._effects import (
+    Answer,
+    CutAnswer,
+    Effect,
+    Note,
+    RecordedAnswer,
+    Refuse,
+    RequestOutcome,
+)
+from shedsill._events import (
+    RequestArrived,
+)
+from shedsill._outcomes import (
+    MAX_RECORDED_BODY,
+    Done,
+    MayHaveRun,
+    Record,
+    Refused,
+    Running,
+    find_record,
+    put_record,
+)
+
+STATUS_BAD_REQUEST = 400
+STATUS_CONFLICT = 409
+STATUS_TOO_LARGE = 413
+STATUS_BAD_GATEWAY = 502
+STATUS_UNAVAILABLE = 503
+STATUS_TIMEOUT = 504
+
+Step = tuple[AgentState, list[Effect]]
+
+
+def settle_relayed(state: AgentState, request: Request) -> Step:
+    """Close the record of an answer that was too long to be kept."""
+    waiters = get_waiters(state, request)
+    state = record_unknown(state, request)
+    effects: list[Effect] = [note_request(LogEvent.REQUEST_DONE, request)]
+    for number in waiters:
+        state, waiter = take_out(state, number)
+        if waiter is not None:
+            reason = "the request ran; its answer was too long to be kept"
+            effects.append(say_unknown(waiter, STATUS_CONFLICT, reason))
+    return state, effects
+
+
+def settle_done(state: AgentState, request: Request, answer: RecordedAnswer) -> Step:
+    """Give the answer to a request and to all that repeated it."""
+    waiters = get_waiters(state, request)
+    record = find_own_record(state, request)
+    if record is not None:
+        small = len(answer.body) <= MAX_RECORDED_BODY
+        settled = (
+            Done(fingerprint=record.fingerprint, expires=record.expires, answer=answer)
+            if small
+            else MayHaveRun(fingerprint=record.fingerprint, expires=record.expires)
+        )
+        state = put_outcome(state, request, settled)
+    effects: list[Effect] = [note_request(LogEvent.REQUEST_DONE, request)]
+    for number in (request.number, *waiters):
+        state, waiter = take_out(state, number)
+        ticket = waiter.ticket if waiter else request.ticket
+        effects.append(Answer(request=number, answer=answer, ticket=ticket))
+    return state, effects
+
+
+def give_up(
+    state: AgentState, request: Request, reason: str, now: float, seed: int
+) -> Step:
+    """Refuse a request, as not run if nothing of it reached the upstream."""
+    if request.sent:
+        state = set_admission(state, drop_request(state.admission, request, now))
+        return settle_unknown(state, request, STATUS_BAD_GATEWAY, reason)
+    retry_after = get_retry_after(state.admission, now, seed)
+    state = set_admission(state, drop_request(state.admission, request, now))
+    waiters = get_waiters(state, request)
+    state = record_refusal(state, request)
+    effects: list[Effect] = []
+    for number in (request.number, *waiters):
+        state, waiter = take_out(state, number)
+        refused = waiter or evolve(request, number=number)
+        fields = {**describe_request(refused), "reason": reason}
+        effects.append(Note(event=LogEvent.REQUEST_REFUSED, fields=fields))
+        effects.append(
+            Refuse(
+                request=number,
+                status=STATUS_UNAVAILABLE,
+                outcome=RequestOutcome.NOT_RUN,
+                reason=reason,
+                ticket=refused.ticket,
+                retry_after=retry_after,
+            )
+        )
+    return state, effects
+
+
+def settle_unknown(
+    state: AgentState, request: Request, status: int, reason: str
+) -> Step:
+    """Say that a request may have run, to its caller and all who repeated it."""
+    waiters = get_waiters(state, request)
+    state = record_unknown(state, request)
+    if request.began:
+        effects: list[Effect] = [
+            note_request(LogEvent.ANSWER_CUT, request),
+            CutAnswer(request=request.number),
+        ]
+    else:
+        effects = [
+            note_request(LogEvent.REQUEST_UNKNOWN, request),
+            say_unknown(request, status, reason),
+        ]
+    for number in waiters:
+        state, waiter = take_out(state, number)
+        if waiter is not None:
+            effects.append(say_unknown(waiter, status, reason))
+    return state, effects
+
+
+def get_waiters(state: AgentState, request: Request) -> tuple[int, ...]:
+    """Return the requests that wait for the same outcome."""
+    record = find_own_record(state, request)
+    return record.waiters if isinstance(record, Running) else ()
+
+
+def take_out(state: AgentState, number: int) -> tuple[AgentState, Request | None]:
+    """Drop a request and return it, if it was there."""
+    request = state.admission.requests.get(number)
+    if request is None:
+        return state, None
+    return set_admission(state, drop_request(state.admission, request, 0.0)), request
+
+
+def find_own_record(state: AgentState, request: Request) -> Record | None:
+    """Return the record of a request's ticket."""
+    if request.origin is None:
+        return None
+    return find_record(state.ledger, request.origin, request.ticket_number)
+
+
+def put_outcome(state: AgentState, request: Request, record: Record) -> AgentState:
+    """Replace the record of a request's ticket."""
+    assert request.origin is not None
+    ledger = put_record(state.ledger, request.origin, request.ticket_number, record)
+    return evolve(state, ledger=ledger)
+
+
+def record_refusal(state: AgentState, request: Request) -> AgentState:
+    """Record that a request did not run and never will."""
+    record = find_own_record(state, request)
+    if record is None:
+        return state
+    refused = Refused(fingerprint=record.fingerprint, expires=record.expires)
+    return put_outcome(state, request, refused)
+
+
+def record_unknown(state: AgentState, request: Request) -> AgentState:
+    """Record that a request may have run."""
+    record = find_own_record(state, request)
+    if record is None:
+        return state
+    unknown = MayHaveRun(fingerprint=record.fingerprint, expires=record.expires)
+    return put_outcome(state, request, unknown)
+
+
+def set_admission(state: AgentState, admission: Any) -> AgentState:
+    """Return the state with another admission."""
+    return evolve(state, admission=admission)
+
+
+def refuse_request(
+    state: AgentState,
+    request: Request,
+    status: int,
+    reason: str,
+    event: RequestArrived | None = None,
+) -> Refuse:
+    """Return the refusal of a request of which nothing ran."""
+    retry_after = 0
+    if event is not None:
+        retry_after = get_retry_after(state.admission, event.now, event.seed)
+    return Refuse(
+        request=request.number,
+        status=status,
+        outcome=RequestOutcome.NOT_RUN,
+        reason=reason,
+        ticket=request.ticket,
+        retry_after=retry_after,
+    )
+
+
+def say_unknown(request: Request, status: int, reason: str) -> Refuse:
+    """Return the answer to a request that may have run."""
+    return Refuse(
+        request=request.number,
+        status=status,
+        outcome=RequestOutcome.UNKNOWN,
+        reason=reason,
+        ticket=request.ticket,
+    )
+
+
+def describe_request(request: Request) -> dict[str, Any]:
+    """Return the fields by which log lines name a request."""
+    return {"request": request.number, "class": request.request_class.name}
+
+
+def note_request(event: LogEvent, request: Request) -> Note:
+    """Return a log line about a request."""
+    return Note(event=event, fields=describe_request(request))
--- a/shedsill/tests/test_guards.py
+++ b/shedsill/tests/test_guards.py
@@ -20,6 +20,7 @@
     _outcomes,
     _requests,
     _routing,
+    _settling,
 )
 from shedsill._acceptance import Acceptor
 from shedsill._effects import RequestOutcome
@@ -256,8 +257,8 @@
     ),
     "unknown is final": (
         Guard(
-            _requests,
-            "_record_unknown",
+            _settling,
+            "record_unknown",
             lambda state, request: (
                 state
                 if request.origin is None
@@ -276,8 +277,8 @@
     ),
     "refusal is final": (
         Guard(
-            _requests,
-            "_record_refusal",
+            _settling,
+            "record_refusal",
             lambda state, request: (
                 state
                 if request.origin is None
