--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -13,11 +13,10 @@
 
 from benchmarks.datapath import KEYS, make_state
 from benchmarks.results import Result
+from shedsill._accepting import Inputs, accept
 from shedsill._addresses import Address
 from shedsill._configuration import (
     Configuration,
-    Inputs,
-    accept,
     decode_configuration,
     encode_configuration,
 )
--- a/benchmarks/datapath.py
+++ b/benchmarks/datapath.py
@@ -12,10 +12,11 @@
 
 from benchmarks.results import Result
 from shedsill._acceptance import Acceptor
+from shedsill._accepting import Inputs, accept
 from shedsill._addresses import Address
 from shedsill._balancer import BalancerState
 from shedsill._catalogue import LogEvent
-from shedsill._configuration import Configuration, Inputs, accept
+from shedsill._configuration import Configuration
 from shedsill._events import CallerDatagram, ConfigurationOffered
 from shedsill._frames import Load, ToCaller, encode_frame
 from shedsill._keys import KeyRing, Route
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -15,9 +15,10 @@
 
 from benchmarks.placement import Field, make_agent, make_service, run_steady
 from benchmarks.results import Result
+from shedsill._accepting import Inputs, accept
 from shedsill._addresses import Address
 from shedsill._agent_state import AgentState
-from shedsill._configuration import Configuration, Inputs, accept
+from shedsill._configuration import Configuration
 from shedsill._effects import Answer, RecordedAnswer, Refuse, StartUpstream
 from shedsill._events import (
     ConfigurationOffered,
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -16,11 +16,12 @@
 
 from benchmarks.datapath import KEYS, make_state
 from benchmarks.results import Result
+from shedsill._accepting import Inputs, accept
 from shedsill._addresses import Address
 from shedsill._admission import Admission, note_failure
 from shedsill._agent_state import AgentSettings, AgentState, get_load
 from shedsill._balancer import BalancerState
-from shedsill._configuration import Configuration, Inputs, UpstreamState, accept
+from shedsill._configuration import Configuration, UpstreamState
 from shedsill._effects import Deliver, RefuseFlow, Send
 from shedsill._events import (
     CallerDatagram,
--- a/shedsill/_acceptance.py
+++ b/shedsill/_acceptance.py
@@ -12,16 +12,18 @@
 import immutables
 from attrs import evolve, field, frozen
 
-from shedsill._catalogue import LogEvent
-from shedsill._configuration import (
+from shedsill._accepting import (
     Acceptance,
-    Configuration,
     Inputs,
     InvalidResource,
-    UpstreamState,
     Verdict,
     VerdictKind,
     accept,
+)
+from shedsill._catalogue import LogEvent
+from shedsill._configuration import (
+    Configuration,
+    UpstreamState,
     decode_configuration,
     encode_configuration,
     is_newer,
--- a/shedsill/_cli/operator.py
+++ b/shedsill/_cli/operator.py
@@ -11,7 +11,6 @@
 
 import click
 import yaml
-from attrs import frozen
 
 from shedsill._acceptance import CLUSTER_STATUS, STATUS_KIND
 from shedsill._catalogue import LogEvent
@@ -23,6 +22,7 @@
     EXIT_UNAVAILABLE,
 )
 from shedsill._cli.settings import check_url
+from shedsill._cli.writes import Same, Stale, Unwritten, Written, write_document
 from shedsill._node import CONFIGURATION_KIND, CONFIGURATION_NAME
 from shedsill._resources import (
     KINDS,
@@ -43,20 +43,16 @@
     List,
     Listing,
     Platform,
-    Put,
     Stored,
     StoredObject,
     Unavailable,
 )
-from shedsill.coordination.update import CHANGE_ID
 from shedsill.coordination.watch import watch_kinds
 from shedsill.errors import DocumentError
 
 FINAL_PHASES = ("done", "rejected")
 ACCEPTED_PHASES = ("accepted", *FINAL_PHASES)
 ANY_VERSION = -1
-READ_BACKS = 5
-READ_BACK_PAUSE = 0.3
 
 platform_option = click.option(
     "--platform",
@@ -69,38 +65,6 @@
 )
 
 
-@frozen(kw_only=True)
-class Written:
-    """A resource was written."""
-
-    version: int
-
-
-@frozen(kw_only=True)
-class Same:
-    """The stored resource is already like that."""
-
-    version: int
-
-
-@frozen(kw_only=True)
-class Stale:
-    """The edit was made from another version than the one stored."""
-
-    yours: int | None
-    current: StoredObject | None
-
-
-@frozen(kw_only=True)
-class Unwritten:
-    """The platform gave no answer, and reading back did not settle it."""
-
-    reason: str
-
-
-WriteResult = Written | Same | Stale | Unwritten
-
-
 def run(platform: str, work: Callable[[Platform], Awaitable[int]]) -> None:
     """Run a command against the platform and exit with its code."""
     url = check_url("--platform", platform)
@@ -115,55 +79,6 @@
     sys.exit(asyncio.run(run_with_client()))
 
 
-async def write_document(
-    client: Platform, document: Document, *, force: bool = False
-) -> WriteResult:
-    """Write a resource on condition that nobody changed it meanwhile.
-
-    A document without a version creates the resource, or leaves it alone when
-    it is already so.  A write whose answer was lost is recognised by its change
-    id when it is read back.
-    """
-    kind, name = get_kind(document.resource), document.resource.name
-    change_id = secrets.token_hex(8)
-    value = {"spec": encode_spec(document.resource), CHANGE_ID: change_id}
-    read = await client.call(Get(kind=kind, name=name))
-    if not isinstance(read, Found):
-        return Unwritten(reason=str(read))
-    current = read.object
-    if current is not None and current.value.get("spec") == value["spec"]:
-        return Same(version=current.version)
-    stored = current.version if current else 0
-    expected = stored if force else (document.version or 0)
-    if expected != stored:
-        return Stale(yours=document.version, current=current)
-    outcome = await client.call(
-        Put(kind=kind, name=name, value=value, expected=expected)
-    )
-    match outcome:
-        case Stored(version=version):
-            return Written(version=version)
-        case Conflict(current=current):
-            return Stale(yours=document.version, current=current)
-        case _:
-            return await _read_back(client, document, change_id)
-
-
-async def _read_back(
-    client: Platform, document: Document, change_id: str
-) -> WriteResult:
-    kind, name = get_kind(document.resource), document.resource.name
-    for _ in range(READ_BACKS):
-        await asyncio.sleep(READ_BACK_PAUSE)
-        read = await client.call(Get(kind=kind, name=name))
-        if not isinstance(read, Found):
-            continue
-        if read.object is not None and read.object.value.get(CHANGE_ID) == change_id:
-            return Written(version=read.object.version)
-        return Unwritten(reason="the write has not taken effect")
-    return Unwritten(reason="the platform does not answer; the write is unknown")
-
-
 def _show(value: Any, output: str) -> None:
     if output == "json":
         click.echo(json.dumps(value))
--- a/shedsill/_cli/quickstart.py
+++ b/shedsill/_cli/quickstart.py
@@ -12,7 +12,7 @@
 import click
 
 from shedsill._cli.exits import EXIT_FAILED, EXIT_OK
-from shedsill._cli.operator import Written, write_document
+from shedsill._cli.writes import Written, write_document
 from shedsill._resources import parse_documents
 from shedsill._runtime.notes import configure_logging
 
--- /dev/null
+++ b/shedsill/_cli/writes.py
@@ -0,0 +1,104 @@
+"""Writing a resource on condition that nobody changed it meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+
+from attrs import frozen
+
+from shedsill._resources import Document, encode_spec, get_kind
+from shedsill.coordination.platform import (
+    Conflict,
+    Found,
+    Get,
+    Platform,
+    Put,
+    Stored,
+    StoredObject,
+)
+from shedsill.coordination.update import CHANGE_ID
+
+READ_BACKS = 5
+READ_BACK_PAUSE = 0.3
+
+
+@frozen(kw_only=True)
+class Written:
+    """A resource was written."""
+
+    version: int
+
+
+@frozen(kw_only=True)
+class Same:
+    """The stored resource is already like that."""
+
+    version: int
+
+
+@frozen(kw_only=True)
+class Stale:
+    """The edit was made from another version than the one stored."""
+
+    yours: int | None
+    current: StoredObject | None
+
+
+@frozen(kw_only=True)
+class Unwritten:
+    """The platform gave no answer, and reading back did not settle it."""
+
+    reason: str
+
+
+WriteResult = Written | Same | Stale | Unwritten
+
+
+async def write_document(
+    client: Platform, document: Document, *, force: bool = False
+) -> WriteResult:
+    """Write a resource on condition that nobody changed it meanwhile.
+
+    A document without a version creates the resource, or leaves it alone when
+    it is already so.  A write whose answer was lost is recognised by its change
+    id when it is read back.
+    """
+    kind, name = get_kind(document.resource), document.resource.name
+    change_id = secrets.token_hex(8)
+    value = {"spec": encode_spec(document.resource), CHANGE_ID: change_id}
+    read = await client.call(Get(kind=kind, name=name))
+    if not isinstance(read, Found):
+        return Unwritten(reason=str(read))
+    current = read.object
+    if current is not None and current.value.get("spec") == value["spec"]:
+        return Same(version=current.version)
+    stored = current.version if current else 0
+    expected = stored if force else (document.version or 0)
+    if expected != stored:
+        return Stale(yours=document.version, current=current)
+    outcome = await client.call(
+        Put(kind=kind, name=name, value=value, expected=expected)
+    )
+    match outcome:
+        case Stored(version=version):
+            return Written(version=version)
+        case Conflict(current=current):
+            return Stale(yours=document.version, current=current)
+        case _:
+            return await _read_back(client, document, change_id)
+
+
+async def _read_back(
+    client: Platform, document: Document, change_id: str
+) -> WriteResult:
+    kind, name = get_kind(document.resource), document.resource.name
+    for _ in range(READ_BACKS):
+        await asyncio.sleep(READ_BACK_PAUSE)
+        read = await client.call(Get(kind=kind, name=name))
+        if not isinstance(read, Found):
+            continue
+        if read.object is not None and read.object.value.get(CHANGE_ID) == change_id:
+            return Written(version=read.object.version)
+        return Unwritten(reason="the write has not taken effect")
+    return Unwritten(reason="the platform does not answer; the write is unknown")
--- a/shedsill/tests/test_routing.py
+++ b/shedsill/tests/test_routing.py
@@ -6,9 +6,10 @@
 
 from attrs import evolve
 
+from shedsill._accepting import Inputs, accept
 from shedsill._addresses import Address
 from shedsill._catalogue import LogEvent
-from shedsill._configuration import Configuration, Inputs, accept
+from shedsill._configuration import Configuration
 from shedsill._effects import Effect, Note, Send
 from shedsill._events import CallerDatagram
 from shedsill._frames import Load, ToUpstream
