--- a/shedsill/_runtime/agent.py
+++ b/shedsill/_runtime/agent.py
@@ -6,7 +6,6 @@
 import os
 from typing import Any
 
-import aiohttp
 import mode
 from aiohttp import web
 from attrs import evolve, frozen
@@ -60,11 +59,8 @@
     Handover,
     PeerRequest,
     decode_handover,
-    decode_peer_answer,
     decode_peer_request,
-    encode_handover,
     encode_peer_answer,
-    encode_peer_request,
 )
 from shedsill._placement import Policy
 from shedsill._runtime.certificates import CertificateLoader
@@ -73,6 +69,12 @@
 from shedsill._runtime.exchange import Body, Exchange
 from shedsill._runtime.flows import KEEPALIVE_INTERVAL, FlowHooks, FlowTable
 from shedsill._runtime.notes import Notebook
+from shedsill._runtime.peers import (
+    HTTP_GONE,
+    PEER_HANDOVER_PATH,
+    PEER_REQUEST_PATH,
+    PeerClient,
+)
 from shedsill._runtime.quic import Minter, make_quic_configuration
 from shedsill._runtime.upstream import Failed, Relayed, UpstreamClient, Whole
 from shedsill.coordination.platform import Platform
@@ -80,10 +82,6 @@
 
 LOAD_INTERVAL = 0.2
 NONCE_LENGTH = 6
-PEER_REQUEST_PATH = "/peer/request"
-PEER_HANDOVER_PATH = "/peer/handover"
-PEER_ANSWER_TIMEOUT = 60.0
-HTTP_GONE = 410
 HTTP_FORBIDDEN = 403
 OUTCOME_HEADER = "shedsill-outcome"
 TICKET_HEADER = "shedsill-ticket"
@@ -487,7 +485,7 @@
             body=exchange.body.read_all(),
             key=exchange.key,
         )
-        answer, gone = await self._post_request(effect.peer, request)
+        answer, gone = await self._get_peers().post_request(effect.peer, request)
         if answer is not None:
             self._finish_passed(exchange, answer)
             return
@@ -510,24 +508,6 @@
             )
         )
 
-    async def _post_request(
-        self, peer: Address, request: PeerRequest
-    ) -> tuple[RecordedAnswer | None, bool]:
-        """Return the peer's answer, or None and whether it has not taken it."""
-        assert self.http is not None
-        url = f"http://{peer}{PEER_REQUEST_PATH}"
-        limit = aiohttp.ClientTimeout(total=PEER_ANSWER_TIMEOUT, sock_connect=1.0)
-        data = encode_peer_request(self.keys, request)
-        try:
-            async with self.http.post(url, data=data, timeout=limit) as response:
-                if response.status == HTTP_GONE:
-                    return None, True
-                return decode_peer_answer(self.keys, await response.read()), False
-        except aiohttp.ClientConnectorError:
-            return None, True
-        except (TimeoutError, aiohttp.ClientError, OSError, DecodeError):
-            return None, False
-
     async def _answer_peer_request(self, request: web.Request) -> web.Response:
         try:
             passed = decode_peer_request(self.keys, await request.read())
@@ -557,17 +537,14 @@
         return web.Response(body=encode_peer_answer(self.keys, answer))
 
     async def _hand_over(self, effect: HandOver) -> None:
-        assert self.http is not None
         handover = Handover(upstream=effect.upstream, transfers=effect.transfers)
-        url = f"http://{effect.peer}{PEER_HANDOVER_PATH}"
-        data = encode_handover(self.keys, handover)
-        try:
-            async with self.http.post(url, data=data) as response:
-                taken = response.status == web.HTTPOk.status_code
-        except (TimeoutError, aiohttp.ClientError, OSError):
-            taken = False
+        taken = await self._get_peers().hand_over(effect.peer, handover)
         self.dispatch(HandoverDone(taken=taken, now=self.now))
 
+    def _get_peers(self) -> PeerClient:
+        assert self.http is not None
+        return PeerClient(self.http, self.keys)
+
     async def _answer_handover(self, request: web.Request) -> web.Response:
         try:
             handover = decode_handover(self.keys, await request.read())
--- /dev/null
+++ b/shedsill/_runtime/peers.py
@@ -0,0 +1,62 @@
+"""Calls from one agent to another over HTTP."""
+
+from __future__ import annotations
+
+import aiohttp
+from attrs import frozen
+
+from shedsill._addresses import Address
+from shedsill._effects import RecordedAnswer
+from shedsill._keys import KeyRing
+from shedsill._peers import (
+    Handover,
+    PeerRequest,
+    decode_peer_answer,
+    encode_handover,
+    encode_peer_request,
+)
+from shedsill.errors import DecodeError
+
+PEER_REQUEST_PATH = "/peer/request"
+PEER_HANDOVER_PATH = "/peer/handover"
+PEER_ANSWER_TIMEOUT = 60.0
+PEER_CONNECT_TIMEOUT = 1.0
+HTTP_OK = 200
+HTTP_GONE = 410
+
+
+@frozen
+class PeerClient:
+    """Sends requests and records to other agents."""
+
+    http: aiohttp.ClientSession
+    keys: KeyRing
+
+    async def post_request(
+        self, peer: Address, request: PeerRequest
+    ) -> tuple[RecordedAnswer | None, bool]:
+        """Return the peer's answer, or None and whether it has not taken it."""
+        url = f"http://{peer}{PEER_REQUEST_PATH}"
+        limit = aiohttp.ClientTimeout(
+            total=PEER_ANSWER_TIMEOUT, sock_connect=PEER_CONNECT_TIMEOUT
+        )
+        data = encode_peer_request(self.keys, request)
+        try:
+            async with self.http.post(url, data=data, timeout=limit) as response:
+                if response.status == HTTP_GONE:
+                    return None, True
+                return decode_peer_answer(self.keys, await response.read()), False
+        except aiohttp.ClientConnectorError:
+            return None, True
+        except (TimeoutError, aiohttp.ClientError, OSError, DecodeError):
+            return None, False
+
+    async def hand_over(self, peer: Address, handover: Handover) -> bool:
+        """Hand a record over; return whether the successor says it has it."""
+        url = f"http://{peer}{PEER_HANDOVER_PATH}"
+        data = encode_handover(self.keys, handover)
+        try:
+            async with self.http.post(url, data=data) as response:
+                return response.status == HTTP_OK
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            return False
