--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -7,7 +7,7 @@
 
 import click
 
-from benchmarks import agents, capacity, datapath, overload, placement
+from benchmarks import agents, capacity, cluster, datapath, overload, placement
 from benchmarks.results import Result, draw_placement, print_table, write_json
 
 
@@ -23,6 +23,7 @@
 GROUPS = {
     "datapath": _measure_datapath,
     "agents": _measure_agents,
+    "cluster": cluster.measure_cluster,
     "placement": placement.measure_placement,
     "overload": overload.measure_overload,
     "capacity": capacity.measure_capacity,
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -22,7 +22,7 @@
 )
 from shedsill._events import Tick
 from shedsill._frames import Load, NodeReport, encode_frame
-from shedsill._node import Vitals, make_heartbeat
+from shedsill._node import Vitals, make_answer, make_heartbeat
 from shedsill._reducer import reduce
 from shedsill._resources import Service, Upstream, UpstreamSet
 from shedsill.coordination.membership import (
@@ -151,12 +151,14 @@
     membership = merge_reports(state.node.membership, reports, 1.0)
     node = evolve(state.node, membership=membership)
     vitals = Vitals(service=1, upstream=1, load=Load())
-    frame = make_heartbeat(node, vitals, now=1.0, seed=1, probe=True)
+    frame = make_heartbeat(node, vitals, now=1.0, seed=1)
     octets = len(encode_frame(KEYS, frame))
     seconds = _time(lambda: [encode_frame(KEYS, frame) for _ in range(100)]) / 100
-    per_second = octets * FAN_OUT * 4
+    short = len(encode_frame(KEYS, make_answer(node, vitals)))
+    per_second = 2 * FAN_OUT * (octets + short)
     return [
         Result("heartbeat, octets", float(octets), "B"),
+        Result("probe or answer, octets", float(short), "B"),
         Result("heartbeat, encoding", seconds * 1e6, "us"),
         Result("heartbeats sent, answered and received", per_second / 1e3, "kB/s"),
     ]
--- /dev/null
+++ b/benchmarks/cluster.py
@@ -0,0 +1,68 @@
+"""Control traffic and the spread of a change, with real processes."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+import time
+
+import aiohttp
+
+from benchmarks.results import Result
+from shedsill.testing.documents import PECAN_BOTTOM
+from shedsill.testing.processes import Cluster, run_cluster
+
+IDLE_SECONDS = 10.0
+CHANGES = 5
+POLL_PAUSE = 0.02
+OCTETS = "shedsill_control_octets_total "
+
+
+def measure_cluster() -> list[Result]:
+    """Measure Pecan Bottom's services: 3 balancers and 11 agents."""
+    with tempfile.TemporaryDirectory() as directory:
+        cluster = Cluster(PECAN_BOTTOM, directory)
+        with run_cluster(cluster):
+            return asyncio.run(_measure(cluster))
+
+
+async def _measure(cluster: Cluster) -> list[Result]:
+    nodes = {**cluster.balancers, **cluster.agents}
+    async with aiohttp.ClientSession() as session:
+        before = [await _read_octets(session, a) for a in nodes.values()]
+        start = time.monotonic()
+        await asyncio.sleep(IDLE_SECONDS)
+        after = [await _read_octets(session, a) for a in nodes.values()]
+        elapsed = time.monotonic() - start
+        rates = [(b - a) / elapsed / 1e3 for a, b in zip(before, after, strict=True)]
+        spreads = [await _time_change(session, cluster) for _ in range(CHANGES)]
+    mean = sum(rates) / len(rates)
+    return [
+        Result("control sent per node, 14 nodes, mean", mean, "kB/s"),
+        Result("control sent per node, 14 nodes, most", max(rates), "kB/s"),
+        Result("change in force on 14 nodes, mean", sum(spreads) / CHANGES, "s"),
+        Result("change in force on 14 nodes, longest", max(spreads), "s"),
+    ]
+
+
+async def _read_octets(session: aiohttp.ClientSession, address) -> float:
+    async with session.get(f"http://{address}/metrics") as response:
+        text = await response.text()
+    return float(text.partition(f"\n{OCTETS}")[2].split()[0])
+
+
+async def _time_change(session: aiohttp.ClientSession, cluster: Cluster) -> float:
+    """Return the seconds from the end of a write until all nodes have it."""
+    nodes = [*cluster.balancers.values(), *cluster.agents.values()]
+    wanted = 1 + max([await _read_generation(session, a) for a in nodes])
+    await asyncio.to_thread(cluster.run_command, "rotate-keys", "--no-wait")
+    start = time.monotonic()
+    for address in nodes:
+        while await _read_generation(session, address) < wanted:
+            await asyncio.sleep(POLL_PAUSE)
+    return time.monotonic() - start
+
+
+async def _read_generation(session: aiohttp.ClientSession, address) -> int:
+    async with session.get(f"http://{address}/status") as response:
+        return (await response.json())["generation"]
--- a/shedsill/_agent.py
+++ b/shedsill/_agent.py
@@ -34,7 +34,7 @@
 from shedsill._frames import Heartbeat, ToUpstream
 from shedsill._node import (
     hear_frame,
-    make_heartbeat,
+    make_answer,
     offer_configuration,
     send_heartbeats,
 )
@@ -153,13 +153,7 @@
         state = note_reply_path(state, event.source, event.now, passed=False)
     if not frame.probe:
         return state, []
-    answer = make_heartbeat(
-        state.node,
-        get_vitals(state),
-        now=event.now,
-        seed=state.node.beat,
-        probe=False,
-    )
+    answer = make_answer(state.node, get_vitals(state))
     return state, [Send(destination=event.source, frame=answer)]
 
 
--- a/shedsill/_balancer.py
+++ b/shedsill/_balancer.py
@@ -36,7 +36,7 @@
     Node,
     Vitals,
     hear_frame,
-    make_heartbeat,
+    make_answer,
     offer_configuration,
     send_heartbeats,
 )
@@ -120,9 +120,7 @@
             if frame.upstream:
                 router = note_answer(router, frame.upstream, frame.load, event.now)
             if frame.probe:
-                answer = make_heartbeat(
-                    node, Vitals(), now=event.now, seed=node.beat, probe=False
-                )
+                answer = make_answer(node, Vitals())
                 effects.append(Send(destination=event.source, frame=answer))
     if node is not state.node or router is not state.router:
         state = evolve(state, node=node, router=router)
--- a/shedsill/_node.py
+++ b/shedsill/_node.py
@@ -100,16 +100,31 @@
     )
 
 
-def make_heartbeat(
-    node: Node, vitals: Vitals, *, now: float, seed: int, probe: bool
+def make_heartbeat(node: Node, vitals: Vitals, *, now: float, seed: int) -> Heartbeat:
+    """Return a heartbeat that passes on what this node knows of others."""
+    reports = choose_reports(node.membership, make_report(node), now, seed)
+    return _fill_heartbeat(node, vitals, reports, probe=True)
+
+
+def make_probe(node: Node, vitals: Vitals) -> Heartbeat:
+    """Return a short heartbeat that asks a peer whether it is alive."""
+    return _fill_heartbeat(node, vitals, (make_report(node),), probe=True)
+
+
+def make_answer(node: Node, vitals: Vitals) -> Heartbeat:
+    """Return the short heartbeat that answers one of a peer."""
+    return _fill_heartbeat(node, vitals, (make_report(node),), probe=False)
+
+
+def _fill_heartbeat(
+    node: Node, vitals: Vitals, reports: tuple[NodeReport, ...], *, probe: bool
 ) -> Heartbeat:
-    """Return a heartbeat of this node."""
     return Heartbeat(
         generation=node.configuration.generation,
         service=vitals.service,
         upstream=vitals.upstream,
         load=vitals.load,
-        reports=choose_reports(node.membership, make_report(node), now, seed),
+        reports=reports,
         probe=probe,
     )
 
@@ -138,12 +153,12 @@
         next_beat=now + BEAT_INTERVAL,
         membership=forget_silent(node.membership, now),
     )
-    frame = make_heartbeat(node, vitals, now=now, seed=seed, probe=True)
-    targets = set(choose_peers(list_peers(node, now), node.address, seed))
-    targets |= set(extra)
-    effects: list[Effect] = [
-        Send(destination=target, frame=frame) for target in sorted(targets)
-    ]
+    peers = choose_peers(list_peers(node, now), node.address, seed)
+    frame = make_heartbeat(node, vitals, now=now, seed=seed)
+    effects: list[Effect] = [Send(destination=peer, frame=frame) for peer in peers]
+    probe = make_probe(node, vitals)
+    asked = sorted(set(extra) - set(peers))
+    effects += [Send(destination=peer, frame=probe) for peer in asked]
     return node, silent + effects
 
 
--- a/shedsill/_runtime/driver.py
+++ b/shedsill/_runtime/driver.py
@@ -11,7 +11,7 @@
 
 import aiohttp
 import mode
-from prometheus_client import Gauge
+from prometheus_client import Counter, Gauge
 
 from shedsill._addresses import Address
 from shedsill._catalogue import LogEvent
@@ -33,7 +33,7 @@
     StopRequested,
     Tick,
 )
-from shedsill._frames import decode_frame, encode_frame
+from shedsill._frames import Heartbeat, decode_frame, encode_frame
 from shedsill._keys import KeyRing, open_envelope
 from shedsill._reducer import State, reduce
 from shedsill._runtime.notes import Notebook
@@ -91,6 +91,9 @@
         self._generation = Gauge(
             "shedsill_generation", "Configuration in force", registry=registry
         )
+        self._control_octets = Counter(
+            "shedsill_control_octets", "Octets of heartbeats sent", registry=registry
+        )
 
     @property
     def now(self) -> float:
@@ -170,7 +173,10 @@
         """Carry out an effect that every role has."""
         match effect:
             case Send(destination=destination, frame=frame):
-                self.send_envelope(destination, encode_frame(self.keys, frame))
+                envelope = encode_frame(self.keys, frame)
+                if isinstance(frame, Heartbeat):
+                    self._control_octets.inc(len(envelope))
+                self.send_envelope(destination, envelope)
             case Note():
                 self.write_note(effect)
             case CallPlatform():
