--- a/properties/test_world.py
+++ b/properties/test_world.py
@@ -157,6 +157,41 @@
             flow = flows[index % len(flows)]
             self.world.send_request(flow, attempt.work, key=attempt.ticket)
 
+    @rule(index=indexes)
+    def open_stream(self, index: int) -> None:
+        self._count()
+        flows = self._open_flows()
+        if flows:
+            flow = flows[index % len(flows)]
+            self.world.send_request(flow, self._name_work(), path="/stream")
+
+    @rule(index=indexes)
+    def cancel(self, index: int) -> None:
+        self._count()
+        waiting = [
+            attempt
+            for attempt in self.world.attempts
+            if attempt.outcome is None and not attempt.cancelled
+        ]
+        if waiting:
+            self.world.cancel_request(waiting[index % len(waiting)])
+
+    @rule(index=indexes)
+    def close_flow(self, index: int) -> None:
+        self._count()
+        flows = self._open_flows()
+        if flows:
+            self.world.close_flow(flows[index % len(flows)])
+
+    @rule(name=st.sampled_from(["d1", "d2", "d3", "i1"]))
+    def leave(self, name: str) -> None:
+        """Stop an agent and close its flows, so that it hands its record on."""
+        self._count()
+        self.world.stop(name)
+        for flow in self._open_flows():
+            if flow.agent == name:
+                self.world.close_flow(flow)
+
     # The network and time.
 
     @rule(choices=st.lists(indexes, min_size=1, max_size=12))
@@ -219,6 +254,16 @@
         else:
             self.world.freeze(name)
 
+    @rule(name=st.sampled_from(sorted([*BALANCERS, "d1", "d2", "d3", "i1", "i2"])))
+    def cut_or_join(self, name: str) -> None:
+        self._count()
+        self.world.cut ^= {name}
+
+    @rule(name=st.sampled_from(["d1", "d3", "i2"]), leaving=st.booleans())
+    def list_machine(self, name: str, leaving: bool) -> None:
+        self._count()
+        self.world.list_machine(name, leaving=leaving)
+
     @rule(name=st.sampled_from(sorted([*BALANCERS, "d1", "d2", "i1"])))
     def stop(self, name: str) -> None:
         self._count()
--- a/shedsill/testing/parts.py
+++ b/shedsill/testing/parts.py
@@ -40,6 +40,7 @@
     key: str
     sent: int
     arrived: bool = False
+    cancelled: bool = False
     outcome: RequestOutcome | None = None
     answered: int = 0
     body: bytes = b""
--- a/shedsill/testing/world.py
+++ b/shedsill/testing/world.py
@@ -103,6 +103,8 @@
         Faults of the platform.
     cancel_delay : float
         Seconds until an upstream notices that a connection was closed.
+    cut : set of str
+        Nodes that run, but that no message reaches or leaves.
     """
 
     seed: int = 1
@@ -116,6 +118,7 @@
     lose_answers: int = 0
     stale_lists: int = 0
     cancel_delay: float = 0.1
+    cut: set[str] = field(factory=set)
     watches: list[PlatformMessage] = field(factory=list)
     flows: list[CallerFlow] = field(factory=list)
     attempts: list[Attempt] = field(factory=list)
@@ -275,6 +278,41 @@
         self._send_attempt(attempt)
         return attempt
 
+    def close_flow(self, flow: CallerFlow) -> None:
+        """Close a caller's connection; what it still waits for is given up."""
+        flow.broken = True
+        flow.unsent.clear()
+        for process in self.nodes.values():
+            closing = [f for f in process.flows.values() if f.caller_flow is flow]
+            for agent_flow in closing:
+                self._close_agent_flow(process, agent_flow)
+
+    def _close_agent_flow(self, process: ProcessFake, flow: AgentFlow) -> None:
+        del process.flows[flow.number]
+        for exchange in list(process.exchanges.values()):
+            if exchange.flow is flow:
+                cancelled = events.RequestCancelled(
+                    request=exchange.number, deliberate=False, now=self.now
+                )
+                self.dispatch(process.name, cancelled)
+        closed = events.FlowClosed(flow=flow.number, now=self.now)
+        self.dispatch(process.name, closed)
+
+    def cancel_request(self, attempt: Attempt) -> None:
+        """Give a request up; the agent hears of it at once."""
+        attempt.cancelled = True
+        if attempt in attempt.flow.unsent:
+            attempt.flow.unsent.remove(attempt)
+            attempt.arrived = True
+        for process in self.nodes.values():
+            for exchange in list(process.exchanges.values()):
+                if exchange.attempt is attempt and exchange.flow is not None:
+                    cancelled = events.RequestCancelled(
+                        request=exchange.number, deliberate=True, now=self.now
+                    )
+                    self.dispatch(process.name, cancelled)
+                    process.exchanges.pop(exchange.number, None)
+
     def _send_attempt(self, attempt: Attempt) -> None:
         flow = attempt.flow
         datagram = bytes([0x40]) + flow.cid + attempt.number.to_bytes(4, "big")
@@ -299,6 +337,9 @@
 
     def deliver(self, index: int = 0) -> None:
         """Deliver one message and check the oracle."""
+        if self._is_cut(self.messages[index]):
+            self.lose(index)
+            return
         message = self.messages.pop(index)
         match message:
             case ToBalancer():
@@ -318,6 +359,18 @@
                 self._deliver_handover(message)
         self.check()
 
+    def _is_cut(self, message: Message) -> bool:
+        addresses = {self.nodes[name].address for name in self.cut}
+        match message:
+            case FrameMessage(source=source, destination=destination):
+                return source in addresses or destination in addresses
+            case PlatformMessage(node=node):
+                return node in self.cut
+            case PullMessage() | PeerCall() | HandoverCall():
+                return message.node in self.cut or message.peer in addresses
+            case _:
+                return False
+
     def lose(self, index: int) -> None:
         """Lose one message, as its transport would notice."""
         message = self.messages.pop(index)
@@ -605,6 +658,8 @@
         if not live:
             return
         process = self.generator.choice(live)
+        if process.name in self.cut:
+            return
         assert isinstance(process.state, BalancerState)
         numbers = {
             accepted.name: accepted.number
@@ -861,6 +916,7 @@
         self.platform_down = False
         self.lose_answers = self.stale_lists = 0
         self.platform.machines = ()
+        self.cut.clear()
         for name, process in list(self.nodes.items()):
             if process.frozen:
                 self.thaw(name)
@@ -884,7 +940,8 @@
     def check_end(self) -> None:
         """Demand an answer to every request, and agreement between nodes."""
         for attempt in self.attempts:
-            waiting = attempt.outcome is None and attempt.path != "/stream"
+            waiting = attempt.outcome is None and not attempt.cancelled
+            waiting = waiting and attempt.path != "/stream"
             if waiting and not attempt.flow.broken:
                 raise OracleError(f"{attempt.work} was lost without an answer")
         generations = {
--- a/shedsill/tests/test_faults.py
+++ b/shedsill/tests/test_faults.py
@@ -10,12 +10,13 @@
 from collections.abc import Callable
 
 import pytest
-from attrs import define, evolve
+from attrs import define
 
 from shedsill._configuration import UpstreamState
 from shedsill._effects import RequestOutcome
 from shedsill._resources import Action, Change, Upstream, UpstreamSet
-from shedsill.testing.world import Attempt, CallerFlow, World
+from shedsill.testing.parts import Attempt, CallerFlow, PlatformMessage
+from shedsill.testing.world import World
 
 BALANCERS = ("b1", "b2", "b3")
 
@@ -107,6 +108,19 @@
     scene.world.finish(scene.world.list_running()[0], answered=False)
 
 
+def step_deadline_passing(scene: Scene) -> None:
+    for index in range(4):
+        scene.world.send_request(scene.flow, f"w{index}")
+    scene.world.settle(4.9, step=0.1)
+
+
+def step_cancelled(scene: Scene) -> None:
+    attempts = [scene.world.send_request(scene.flow, f"w{i}") for i in range(4)]
+    scene.world.settle()
+    scene.world.cancel_request(attempts[0])
+    scene.world.cancel_request(attempts[3])
+
+
 def step_retry_while_running(scene: Scene) -> None:
     ticket = run_request(scene, "r", path="/read").ticket
     scene.world.send_request(scene.flow, "w", key=ticket)
@@ -212,6 +226,23 @@
     scene.world.thaw(scene.agent)
 
 
+def fault_cut_agent(scene: Scene) -> None:
+    scene.world.cut.add(scene.agent)
+    scene.world.settle(10.0, step=0.25)
+
+
+def fault_cut_balancer(scene: Scene) -> None:
+    scene.world.cut.add("b1")
+    scene.world.settle(10.0, step=0.25)
+
+
+def fault_platform_slow(scene: Scene) -> None:
+    slow = [m for m in scene.world.messages if isinstance(m, PlatformMessage)]
+    scene.world.messages = [m for m in scene.world.messages if m not in slow]
+    scene.world.settle(3.0)
+    scene.world.messages += slow
+
+
 def fault_platform_down(scene: Scene) -> None:
     scene.world.platform_down = True
     scene.world.settle(8.0, step=0.25)
@@ -316,8 +347,7 @@
     first = run_request(scene, "w", key=ticket)
     leaver = scene.agent
     process = scene.world.nodes[leaver]
-    process.flows.clear()
-    process.state = evolve(process.state, flows=0)
+    scene.world.close_flow(scene.flow)
     scene.world.stop(leaver)
     scene.world.settle(4.0)
     assert process.exited
--- a/shedsill/tests/test_guards.py
+++ b/shedsill/tests/test_guards.py
@@ -147,9 +147,7 @@
 def leaver_hands_its_record_on(scene: Scene) -> None:
     ticket = get_ticket(scene)
     first = run_request(scene, "w", key=ticket)
-    leaver = scene.world.nodes[scene.agent]
-    leaver.flows.clear()
-    leaver.state = evolve(leaver.state, flows=0)
+    scene.world.close_flow(scene.flow)
     scene.world.stop(scene.agent)
     scene.world.settle(4.0)
     again = run_request(open_other_flow(scene), "w", key=ticket)
