--- /dev/null
+++ b/properties/test_bytes.py
@@ -0,0 +1,109 @@
+"""Bytes and text from outside: decoded, or refused by the one named error."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from shedsill._addresses import Address
+from shedsill._configuration import decode_configuration_text
+from shedsill._events import CallerDatagram
+from shedsill._frames import decode_frame
+from shedsill._keys import KeyRing, seal_envelope
+from shedsill._packets import read_packet
+from shedsill._peers import (
+    decode_handover,
+    decode_peer_answer,
+    decode_peer_request,
+)
+from shedsill._resources import parse_documents
+from shedsill._routing import Router, route_datagram
+from shedsill.errors import DecodeError, DocumentError
+from shedsill.tests.test_routing import CONFIGURATION
+
+KEYS = KeyRing((bytes(range(32)),))
+seeded = settings(derandomize=True, database=None, deadline=None, max_examples=300)
+packets = st.one_of(
+    st.binary(max_size=1500),
+    st.builds(
+        lambda head, rest: bytes([0xC0]) + head + rest,
+        st.sampled_from(
+            [b"\x00\x00\x00\x01", b"\x6b\x33\x43\xcf", b"\x00\x00\x00\x00"]
+        ),
+        st.binary(max_size=1400),
+    ),
+    st.builds(lambda rest: b"\x50" + rest, st.binary(max_size=60)),
+)
+fields = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=12),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+
+
+@seeded
+@given(packets)
+def test_any_datagram_is_routed_or_dropped(datagram: bytes) -> None:
+    read_packet(datagram)
+    event = CallerDatagram(
+        service=1, caller=Address("10.9.0.1", 1), datagram=datagram, now=1.0
+    )
+    _router, effects = route_datagram(Router(), CONFIGURATION, KEYS, event)
+    assert effects
+
+
+@seeded
+@given(st.binary(max_size=400), st.booleans())
+def test_any_message_between_nodes_is_decoded_or_refused(
+    data: bytes, signed: bool
+) -> None:
+    envelope = seal_envelope(KEYS, data) if signed else data
+    for decode in (
+        decode_frame,
+        decode_peer_request,
+        decode_peer_answer,
+        decode_handover,
+    ):
+        with contextlib.suppress(DecodeError):
+            decode(KEYS, envelope)
+
+
+@seeded
+@given(st.text(max_size=80))
+def test_any_key_is_a_ticket_or_none(text: str) -> None:
+    assert KEYS.open_ticket(text) is None
+
+
+@seeded
+@given(st.binary(max_size=200))
+def test_any_configuration_text_is_decoded_or_refused(data: bytes) -> None:
+    with contextlib.suppress(DecodeError):
+        decode_configuration_text(data)
+
+
+@seeded
+@given(st.text(max_size=200))
+def test_any_text_is_documents_or_refused(text: str) -> None:
+    with contextlib.suppress(DocumentError):
+        parse_documents(text)
+
+
+@seeded
+@given(
+    st.sampled_from(["Service", "UpstreamSet", "Change"]),
+    st.dictionaries(
+        st.sampled_from(
+            ["address", "slots", "classes", "service", "upstreams", "action", "target"]
+        ),
+        fields,
+    ),
+)
+def test_any_fields_are_a_resource_or_refused(kind: str, spec: dict) -> None:
+    with contextlib.suppress(DocumentError):
+        parse_documents(json.dumps({"kind": kind, "name": "x", "spec": spec}))
--- a/shedsill/_catalogue.py
+++ b/shedsill/_catalogue.py
@@ -37,6 +37,7 @@
     NODE_STOPPING = Entry(101, Level.INFO, "planned stop began")
     NODE_STOPPED = Entry(102, Level.INFO, "planned stop is complete")
     INVARIANT_BROKEN = Entry(103, Level.ERROR, "an invariant does not hold; stopping")
+    TASK_FAILED = Entry(104, Level.ERROR, "a call beside the loop failed")
     MEMBER_JOINED = Entry(110, Level.INFO, "a node was heard of")
     MEMBER_SILENT = Entry(111, Level.WARNING, "a node has fallen silent")
 
--- a/shedsill/_peers.py
+++ b/shedsill/_peers.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+import contextlib
+from collections.abc import Iterable, Iterator
 
 import capnp
 from attrs import frozen
@@ -141,25 +142,19 @@
             return MayHaveRun(fingerprint=fingerprint, expires=slot.expires)
 
 
-class _open:
+@contextlib.contextmanager
+def _open(
+    ring: KeyRing, data: bytes, schema: capnp._StructModule
+) -> Iterator[capnp._DynamicStructReader]:
     """Open an envelope as a reader; anything unreadable is a `DecodeError`."""
-
-    def __init__(self, ring: KeyRing, data: bytes, schema: capnp._StructModule) -> None:
-        message = open_envelope(ring, data)
-        try:
-            self._context = schema.from_bytes(
-                message, traversal_limit_in_words=MAX_MESSAGE_WORDS
-            )
-        except (capnp.KjException, ValueError) as error:
-            raise DecodeError(f"not a message: {error}") from error
-
-    def __enter__(self) -> capnp._DynamicStructReader:
-        return self._context.__enter__()
-
-    def __exit__(self, kind: type | None, error: object, trace: object) -> None:
-        self._context.__exit__(kind, error, trace)
-        if kind is not None and issubclass(kind, capnp.KjException):
-            raise DecodeError(f"not a message: {error}")
+    message = open_envelope(ring, data)
+    try:
+        with schema.from_bytes(
+            message, traversal_limit_in_words=MAX_MESSAGE_WORDS
+        ) as reader:
+            yield reader
+    except (capnp.KjException, ValueError) as error:
+        raise DecodeError(f"not a message: {error}") from error
 
 
 def _fill_answer(body: capnp._DynamicStructBuilder, answer: RecordedAnswer) -> None:
--- a/shedsill/_runtime/driver.py
+++ b/shedsill/_runtime/driver.py
@@ -204,9 +204,16 @@
         """Run a coroutine beside the loop; it ends with the service."""
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._end_task)
         return task
 
+    def _end_task(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        fields = {"error": repr(task.exception())}
+        self.write_note(Note(event=LogEvent.TASK_FAILED, fields=fields))
+
     async def _call_platform(self, effect: CallPlatform) -> None:
         outcome = await self.platform.call(effect.call)
         self.dispatch(
--- a/shedsill/_runtime/exchange.py
+++ b/shedsill/_runtime/exchange.py
@@ -141,3 +141,18 @@
         elif name not in HOP_BY_HOP:
             fields.append(Header(name=name, value=value))
     return pseudo, tuple(fields)
+
+
+def encode_text(text: str) -> bytes:
+    """Encode a header's name or value, held as one character an octet."""
+    return text.encode("latin-1")
+
+
+def read_octets(text: str) -> str:
+    """Turn text that aiohttp has read into one character an octet."""
+    return text.encode("utf-8", "surrogateescape").decode("latin-1")
+
+
+def write_octets(text: str) -> str:
+    """Turn one character an octet into text that aiohttp can write."""
+    return encode_text(text).decode("utf-8", "replace")
--- a/shedsill/_runtime/flows.py
+++ b/shedsill/_runtime/flows.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import os
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from aioquic.buffer import Buffer
 from aioquic.h3.connection import ErrorCode, H3Connection
@@ -26,7 +27,7 @@
 from shedsill._effects import Deliver, Header, RequireRetry
 from shedsill._keys import CONNECTION_ID_LENGTH
 from shedsill._packets import MIN_INITIAL_SIZE
-from shedsill._runtime.exchange import Body, Exchange, read_headers
+from shedsill._runtime.exchange import Body, Exchange, encode_text, read_headers
 from shedsill._runtime.quic import (
     Minter,
     RoutedConnection,
@@ -116,15 +117,20 @@
         if flow is None:
             return
         flow.reply_to = effect.reply_to
-        try:
+        with self._contain(flow):
             flow.quic.receive_datagram(
                 effect.datagram, effect.caller.pair, now=self._loop.time()
             )
-        except Exception as error:  # one caller's packet must not end the agent
+            self._process(flow)
+
+    @contextlib.contextmanager
+    def _contain(self, flow: Flow) -> Iterator[None]:
+        """End one flow, not the agent, on whatever its packets set off."""
+        try:
+            yield
+        except Exception as error:
             self._hooks.failed(flow.number, error)
             self._close(flow)
-            return
-        self._process(flow)
 
     def _open(self, effect: Deliver, header) -> Flow | None:
         configuration = self.configuration
@@ -358,8 +364,9 @@
     def _handle_timer(self, flow: Flow) -> None:
         flow.timer = None
         flow.timer_at = None
-        flow.quic.handle_timer(now=self._loop.time())
-        self._process(flow)
+        with self._contain(flow):
+            flow.quic.handle_timer(now=self._loop.time())
+            self._process(flow)
 
     def send_head(
         self,
@@ -376,18 +383,20 @@
         exchange.answered = True
         pairs = [(b":status", str(status).encode())]
         pairs += [
-            (h.name.encode("latin-1"), h.value.encode("latin-1")) for h in headers
+            (encode_text(header.name), encode_text(header.value)) for header in headers
         ]
-        flow.http.send_headers(exchange.stream, pairs, end_stream=ended)
-        self.transmit(flow)
+        with self._contain(flow):
+            flow.http.send_headers(exchange.stream, pairs, end_stream=ended)
+            self.transmit(flow)
 
     def send_body(self, exchange: Exchange, data: bytes, *, ended: bool) -> None:
         """Send part of an answer."""
         flow = self._find(exchange)
         if flow is None or flow.http is None:
             return
-        flow.http.send_data(exchange.stream, data, end_stream=ended)
-        self.transmit(flow)
+        with self._contain(flow):
+            flow.http.send_data(exchange.stream, data, end_stream=ended)
+            self.transmit(flow)
 
     async def wait_for_room(self, exchange: Exchange) -> None:
         """Wait while a caller is far behind with taking its answer."""
@@ -402,8 +411,9 @@
         flow = self._find(exchange)
         if flow is None:
             return
-        flow.quic.reset_stream(exchange.stream, ErrorCode.H3_INTERNAL_ERROR)
-        self.transmit(flow)
+        with self._contain(flow):
+            flow.quic.reset_stream(exchange.stream, ErrorCode.H3_INTERNAL_ERROR)
+            self.transmit(flow)
         self.forget(exchange)
 
     def forget(self, exchange: Exchange) -> None:
--- a/shedsill/_runtime/upstream.py
+++ b/shedsill/_runtime/upstream.py
@@ -7,10 +7,16 @@
 
 import aiohttp
 from attrs import frozen
+from yarl import URL
 
 from shedsill._effects import Header, RecordedAnswer
 from shedsill._outcomes import MAX_RECORDED_BODY
-from shedsill._runtime.exchange import HOP_BY_HOP, Exchange
+from shedsill._runtime.exchange import (
+    HOP_BY_HOP,
+    Exchange,
+    read_octets,
+    write_octets,
+)
 
 CONNECT_TIMEOUT = 2.0
 LOAD_TIMEOUT = 1.0
@@ -119,14 +125,16 @@
         body = exchange.body
         data = body.read_all() if body.ended else body.iterate()
         headers = [
-            (h.name, h.value) for h in exchange.headers if h.name not in DROPPED_HEADERS
+            (write_octets(header.name), write_octets(header.value))
+            for header in exchange.headers
+            if header.name not in DROPPED_HEADERS
         ]
         if exchange.authority:
             headers.append(("Host", exchange.authority))
         try:
             async with self._session.request(
                 exchange.method,
-                self.url + exchange.path,
+                URL(self.url + exchange.path, encoded=True),
                 headers=headers,
                 data=data or None,
                 allow_redirects=False,
@@ -145,7 +153,7 @@
         make_relay: Callable[[], Relay],
     ) -> UpstreamResult:
         headers = tuple(
-            Header(name=name.lower(), value=value)
+            Header(name=read_octets(name.lower()), value=read_octets(value))
             for name, value in response.headers.items()
             if name.lower() not in HOP_BY_HOP
         )
--- a/shedsill/testing/upstream.py
+++ b/shedsill/testing/upstream.py
@@ -7,7 +7,8 @@
 without end; ``POST /upload`` answers the number of octets.  ``GET /journal``
 lists what ran, ``GET /load`` says how many requests are at work, and ``POST
 /faults`` switches ``shed``, ``lie_idle``, ``slow`` (seconds added), ``cut``
-(answers end early), ``fail`` (status 500) and ``cold`` (seconds from now during
+(answers end early), ``fail`` (status 500),
+``odd`` (a header beyond ASCII) and ``cold`` (seconds from now during
 which work takes four times as long).
 """
 
@@ -34,6 +35,7 @@
     slow: float = 0.0
     cut: bool = False
     fail: bool = False
+    odd: bool = False
     cold: float = 0.0
 
 
@@ -109,6 +111,8 @@
             return web.Response(status=500, text="failed")
         if self.faults.cut:
             return await self._cut(request, text)
+        if self.faults.odd:
+            return web.Response(text=text, headers={"X-Odd": "naïve ✓"})
         return web.Response(text=text)
 
     @contextlib.contextmanager
--- a/shedsill/tests/test_process_faults.py
+++ b/shedsill/tests/test_process_faults.py
@@ -195,7 +195,12 @@
 
 @pytest.mark.parametrize(
     ("fault", "status", "outcome"),
-    [("cut", 502, "unknown"), ("shed", 503, "not-run"), ("fail", 500, "done")],
+    [
+        ("cut", 502, "unknown"),
+        ("shed", 503, "not-run"),
+        ("fail", 500, "done"),
+        ("odd", 200, "done"),
+    ],
 )
 def test_bad_answers_are_told_apart(
     cluster: Cluster, fault: str, status: int, outcome: str
