--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -326,7 +326,7 @@
             value = _measure(TwoCandidates(), lag, scene, upstreams)
             label = f"max/mean, {scene}, {upstreams} upstreams, lag {lag:g} s"
             results.append(Result(label, value, ""))
-    return results + _measure_black_hole()
+    return results + _measure_black_hole() + _measure_slow()
 
 
 def _measure_black_hole() -> list[Result]:
@@ -353,6 +353,24 @@
     ]
 
 
+def _measure_slow() -> list[Result]:
+    """Measure how many new flows go to an upstream whose queue has grown."""
+    playing = Field(
+        strategy=TwoCandidates(),
+        lag=0.1,
+        generator=random.Random(11),
+        inputs=make_service(7),
+    )
+    run_steady(playing, 7)
+    slow = playing.agents[1]
+    before = slow.flows
+    admission = evolve(slow.admission, running=2 * slow.admission.slots)
+    playing.agents[1] = evolve(slow, admission=admission)
+    playing.open_flows(PER_UPSTREAM)
+    share = (playing.agents[1].flows - before) / PER_UPSTREAM
+    return [Result("share of new flows to a slow one, 7 upstreams", share, "")]
+
+
 def _measure(strategy: Strategy, lag: float, scene: str, upstreams: int) -> float:
     playing = Field(
         strategy=strategy,
--- a/shedsill/_placement.py
+++ b/shedsill/_placement.py
@@ -17,6 +17,7 @@
 from shedsill._frames import Candidate, Load
 
 SLOW_START_FLOOR = 0.1
+SATURATION = 2
 
 
 @frozen(kw_only=True)
@@ -28,6 +29,9 @@
 class TwoCandidates:
     """Pass a flow on when the alternate is less full by more than a margin.
 
+    An upstream whose queue is as long as its slots counts as fuller than one
+    whose queue is not, however many flows each has.
+
     Attributes
     ----------
     margin : float
@@ -86,6 +90,17 @@
     return load.open and load.flows < load.flow_limit
 
 
+def is_saturated(load: Load) -> bool:
+    """Whether an upstream has more work waiting than it has slots.
+
+    Examples
+    --------
+    >>> is_saturated(Load(busy=5, slots=3)), is_saturated(Load(busy=6, slots=3))
+    (False, True)
+    """
+    return load.busy >= SATURATION * load.slots
+
+
 def choose_alternate(
     policy: Policy, own: Load, alternate: Candidate | None, *, warmth: float = 1.0
 ) -> bool:
@@ -109,6 +124,8 @@
         case TwoCandidates(margin=margin, stale_after=stale_after):
             if alternate.age > stale_after:
                 return False
+            if is_saturated(own) != is_saturated(alternate.load):
+                return is_saturated(own)
             step = margin / max(own.flow_limit, 1)
             difference = get_fill(own, warmth=warmth) - get_fill(alternate.load)
             return difference > step
--- a/shedsill/_routing.py
+++ b/shedsill/_routing.py
@@ -43,9 +43,21 @@
     waiting_since: float | None = None
 
 
+@frozen
+class Caller:
+    """A caller's IP number, as far as one service is concerned."""
+
+    service: int
+    host: str
+
+
 @frozen(kw_only=True)
 class FlowLimits:
-    """Limits on new flows: per caller IP number, and for the balancer."""
+    """Limits on new flows of one service: per caller IP number, and in all.
+
+    Each service has buckets of its own, so that a flood on one leaves the new
+    flows of the others alone.
+    """
 
     caller: Rate = field(factory=lambda: Rate(per_second=50.0, burst=500.0))
     total: Rate = field(factory=lambda: Rate(per_second=4_000.0, burst=8_000.0))
@@ -57,8 +69,8 @@
 
     limits: FlowLimits = field(factory=FlowLimits)
     links: immutables.Map[int, Link] = field(factory=immutables.Map)
-    callers: immutables.Map[str, Bucket] = field(factory=immutables.Map)
-    total: Bucket | None = None
+    callers: immutables.Map[Caller, Bucket] = field(factory=immutables.Map)
+    totals: immutables.Map[int, Bucket] = field(factory=immutables.Map)
     last_datagram: float = 0.0
 
 
@@ -119,7 +131,8 @@
 def _place_flow(
     router: Router, configuration: Configuration, packet: Packet, event: CallerDatagram
 ) -> tuple[Router, list[Effect]]:
-    router, admitted = _take_tokens(router, event.caller.host, event.now)
+    caller = Caller(event.service, event.caller.host)
+    router, admitted = _take_tokens(router, caller, event.now)
     if not admitted:
         return router, [_note_drop(LogEvent.FLOW_LIMITED, event)]
     ranked = rank_upstreams(
@@ -165,23 +178,25 @@
     return link is not None and is_silent(link, now)
 
 
-def _take_tokens(router: Router, host: str, now: float) -> tuple[Router, bool]:
-    total, admitted = take_token(router.total, router.limits.total, now)
+def _take_tokens(router: Router, caller: Caller, now: float) -> tuple[Router, bool]:
+    limits = router.limits
+    bucket, admitted = take_token(router.totals.get(caller.service), limits.total, now)
+    router = evolve(router, totals=router.totals.set(caller.service, bucket))
     if not admitted:
-        return evolve(router, total=total), False
+        return router, False
     callers = router.callers
-    if len(callers) >= MAX_CALLER_BUCKETS and host not in callers:
-        callers = _drop_full_buckets(callers, router.limits.caller, now)
-    bucket, admitted = take_token(callers.get(host), router.limits.caller, now)
-    return evolve(router, total=total, callers=callers.set(host, bucket)), admitted
+    if len(callers) >= MAX_CALLER_BUCKETS and caller not in callers:
+        callers = _drop_full_buckets(callers, limits.caller, now)
+    bucket, admitted = take_token(callers.get(caller), limits.caller, now)
+    return evolve(router, callers=callers.set(caller, bucket)), admitted
 
 
 def _drop_full_buckets(
-    callers: immutables.Map[str, Bucket], rate: Rate, now: float
-) -> immutables.Map[str, Bucket]:
+    callers: immutables.Map[Caller, Bucket], rate: Rate, now: float
+) -> immutables.Map[Caller, Bucket]:
     """Forget callers whose bucket has filled up again, or else everyone."""
     refill = rate.burst / rate.per_second
-    kept = {host: b for host, b in callers.items() if now - b.counted < refill}
+    kept = {who: b for who, b in callers.items() if now - b.counted < refill}
     if len(kept) >= MAX_CALLER_BUCKETS:
         return immutables.Map()
     return immutables.Map(kept)
--- /dev/null
+++ b/shedsill/tests/test_placement.py
@@ -0,0 +1,56 @@
+"""Who takes a new flow."""
+
+from __future__ import annotations
+
+import pytest
+
+from shedsill._frames import Candidate, Load
+from shedsill._placement import (
+    HashOnly,
+    Policy,
+    TwoCandidates,
+    choose_alternate,
+    get_fill,
+)
+
+LIMIT = 100
+
+
+def make_load(flows: int, *, busy: int = 0, is_open: bool = True) -> Load:
+    return Load(flows=flows, flow_limit=LIMIT, busy=busy, slots=3, open=is_open)
+
+
+@pytest.mark.parametrize(
+    ("policy", "own", "other", "age", "passed"),
+    [
+        (TwoCandidates(), make_load(11), make_load(10), 0.0, True),
+        (TwoCandidates(), make_load(10), make_load(10), 0.0, False),
+        (TwoCandidates(), make_load(10), make_load(11), 0.0, False),
+        (TwoCandidates(), make_load(50), make_load(10), 9.0, False),
+        (TwoCandidates(), make_load(10, busy=6), make_load(50), 0.0, True),
+        (TwoCandidates(), make_load(50), make_load(10, busy=6), 0.0, False),
+        (TwoCandidates(), make_load(50, busy=9), make_load(10, busy=9), 0.0, True),
+        (TwoCandidates(), make_load(1), make_load(0, is_open=False), 0.0, False),
+        (TwoCandidates(), make_load(1), make_load(LIMIT), 0.0, False),
+        (TwoCandidates(), make_load(LIMIT), make_load(99), 9.0, True),
+        (HashOnly(), make_load(50), make_load(10), 0.0, False),
+        (HashOnly(), make_load(50, is_open=False), make_load(60), 0.0, True),
+    ],
+)
+def test_flow_is_passed_on(
+    policy: Policy, own: Load, other: Load, age: float, passed: bool
+) -> None:
+    alternate = Candidate(upstream=2, load=other, age=age)
+    assert choose_alternate(policy, own, alternate) == passed
+
+
+def test_without_an_alternate_the_flow_stays() -> None:
+    assert not choose_alternate(TwoCandidates(), make_load(LIMIT), None)
+
+
+def test_slow_start_makes_a_fresh_upstream_look_fuller() -> None:
+    alternate = Candidate(upstream=2, load=make_load(20), age=0.0)
+    own = make_load(5)
+    assert not choose_alternate(TwoCandidates(), own, alternate)
+    assert choose_alternate(TwoCandidates(), own, alternate, warmth=0.1)
+    assert get_fill(own, warmth=0.0) == get_fill(own, warmth=0.1)
--- a/shedsill/tests/test_routing.py
+++ b/shedsill/tests/test_routing.py
@@ -173,6 +173,24 @@
     assert get_target(effects) is not None
 
 
+def test_flood_on_one_service_leaves_the_others_new_flows_alone() -> None:
+    limits = FlowLimits(
+        caller=Rate(per_second=1.0, burst=9.0), total=Rate(per_second=1.0, burst=10.0)
+    )
+    router = Router(limits=limits)
+    for index in range(100):
+        host = f"10.9.0.{index}"
+        router, _effects = route(
+            make_initial(os.urandom(8)), service=INTAKE, router=router, host=host
+        )
+    _router, effects = route(
+        make_initial(os.urandom(8)), service=INTAKE, router=router, host="10.9.1.1"
+    )
+    assert get_event(effects) == LogEvent.FLOW_LIMITED
+    _router, effects = route(make_initial(os.urandom(8)), router=router)
+    assert get_target(effects) is not None
+
+
 def test_limits_leave_open_flows_alone() -> None:
     limits = FlowLimits(
         caller=Rate(per_second=1.0, burst=1.0), total=Rate(per_second=1.0, burst=1.0)
