--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -7,7 +7,7 @@
 
 import click
 
-from benchmarks import agents, capacity, cluster, datapath, overload, placement
+from benchmarks import agents, capacity, changes, cluster, datapath, overload, placement
 from benchmarks.results import Result, draw_placement, print_table, write_json
 
 
@@ -24,6 +24,7 @@
     "datapath": _measure_datapath,
     "agents": _measure_agents,
     "cluster": cluster.measure_cluster,
+    "changes": changes.measure_changes,
     "placement": placement.measure_placement,
     "overload": overload.measure_overload,
     "capacity": capacity.measure_capacity,
--- /dev/null
+++ b/benchmarks/changes.py
@@ -0,0 +1,123 @@
+"""Broken flows and gaps while nodes change, with real processes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+import tempfile
+import time
+
+from attrs import define, field
+
+from benchmarks.results import Result
+from shedsill.testing.client import Response, open_client
+from shedsill.testing.documents import PECAN_BOTTOM
+from shedsill.testing.processes import Cluster, run_cluster
+
+FLOWS = 40
+STREAM = "/stream?interval=0.1"
+SERVICE = "dispatcher"
+SETTLE = 3.0
+WATCH_STEP = 0.05
+
+
+@define
+class Watcher:
+    """Watches streams for breaks and for the longest silence."""
+
+    streams: list[Response]
+    longest: float = 0.0
+    _seen: dict[int, tuple[int, float]] = field(factory=dict)
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            now = time.monotonic()
+            for index, stream in enumerate(self.streams):
+                size, since = self._seen.get(index, (-1, now))
+                if len(stream.body) != size:
+                    self._seen[index] = (len(stream.body), now)
+                elif not stream.cut:
+                    self.longest = max(self.longest, now - since)
+            await asyncio.sleep(WATCH_STEP)
+
+    def count_broken(self) -> int:
+        """Return how many streams have ended."""
+        return sum(stream.cut for stream in self.streams)
+
+
+async def _replace_balancers(cluster: Cluster) -> None:
+    for name, address in cluster.balancers.items():
+        await _withdraw(cluster, [address.host])
+        cluster.processes[name].send(signal.SIGTERM)
+        await asyncio.to_thread(cluster.processes[name].wait)
+        cluster.start_balancer(name, address)
+        await cluster.wait_ready(name)
+        await _withdraw(cluster, [])
+
+
+async def _drain_all_in_turn(cluster: Cluster) -> None:
+    names = [n for n, owner in cluster.service_of.items() if owner == SERVICE]
+    for name in names[:3]:
+        await asyncio.to_thread(cluster.run_command, "drain", "--no-wait", name)
+        await asyncio.sleep(SETTLE / 3)
+        await asyncio.to_thread(cluster.run_command, "undrain", name)
+
+
+async def _rotate_keys(cluster: Cluster) -> None:
+    for _ in range(3):
+        await asyncio.to_thread(cluster.run_command, "rotate-keys")
+
+
+async def _kill_balancers(cluster: Cluster) -> None:
+    """Kill two of three; the fabric notices late."""
+    names = list(cluster.balancers)[:2]
+    for name in names:
+        cluster.processes[name].send(signal.SIGKILL)
+    await asyncio.sleep(1.0)
+    await _withdraw(cluster, [cluster.balancers[name].host for name in names])
+    await asyncio.sleep(SETTLE)
+
+
+async def _withdraw(cluster: Cluster, hosts: list[str]) -> None:
+    await cluster.fetch(f"{cluster.fabric_url}/balancers", body={"withdrawn": hosts})
+
+
+SCENES = {
+    "all balancers replaced": _replace_balancers,
+    "three upstreams drained and undrained": _drain_all_in_turn,
+    "three key rotations": _rotate_keys,
+    "two of three balancers killed": _kill_balancers,
+}
+
+
+async def _measure(cluster: Cluster) -> list[Result]:
+    results = []
+    async with contextlib.AsyncExitStack() as stack:
+        streams = []
+        for _ in range(FLOWS):
+            client = await stack.enter_async_context(
+                open_client(cluster.fronts[SERVICE])
+            )
+            streams.append(client.open("GET", STREAM)[1])
+        await asyncio.sleep(SETTLE)
+        for name, scene in SCENES.items():
+            watcher = Watcher(streams)
+            task = asyncio.create_task(watcher.run())
+            await scene(cluster)
+            await asyncio.sleep(SETTLE)
+            task.cancel()
+            broken = float(watcher.count_broken())
+            results.append(Result(f"broken of {FLOWS} flows, {name}", broken, ""))
+            results.append(Result(f"longest silence, {name}", watcher.longest, "s"))
+    return results
+
+
+def measure_changes() -> list[Result]:
+    """Run the scenes one after another over the same flows."""
+    with tempfile.TemporaryDirectory() as directory:
+        cluster = Cluster(PECAN_BOTTOM, directory)
+        cluster.extra["balancer"] = ("--quiet", "0.5")
+        with run_cluster(cluster):
+            return asyncio.run(_measure(cluster))
