--- a/shedsill/_acceptance.py
+++ b/shedsill/_acceptance.py
@@ -77,6 +77,8 @@
         Highest revision of the platform seen.
     current : bool
         Whether the last listing has been dealt with, so that a watch is due.
+    failing : bool
+        Whether the last answer of the platform was none.
     pending : Configuration or None
         What was written and is not yet known to be stored.
     gone : frozenset of str
@@ -93,6 +95,7 @@
     pending: Configuration | None = None
     leaving: frozenset[str] = frozenset()
     present: frozenset[str] = frozenset()
+    failing: bool = False
     cluster_version: int = 0
     cluster_value: immutables.Map[str, Any] = field(factory=immutables.Map)
 
--- a/shedsill/_agent.py
+++ b/shedsill/_agent.py
@@ -80,7 +80,11 @@
     node, effects = offer_configuration(state.node, event.configuration)
     if node.configuration is state.node.configuration:
         return evolve(state, node=node), effects
+    was_known = state.upstream != 0
     state = _identify(evolve(state, node=node), node.configuration, event.now)
+    if state.upstream and not was_known:
+        fields = {"seconds": state.admission.held_until - event.now}
+        effects.append(Note(event=LogEvent.SLOTS_HELD, fields=fields))
     state, more = update_drain(state, event.now)
     return state, effects + more
 
--- a/shedsill/_balancer.py
+++ b/shedsill/_balancer.py
@@ -61,6 +61,7 @@
     Listing,
     Machines,
     Stored,
+    Unavailable,
 )
 
 PROBE_IDLE = 1.0
@@ -217,6 +218,16 @@
     """Go on with whatever the platform was called for."""
     if event.purpose == Purpose.NODE:
         return evolve(state, status=take_status_outcome(state.status, event)), []
+    failing = isinstance(event.outcome, Unavailable)
+    was_failing = state.acceptor.failing
+    acceptor = evolve(state.acceptor, failing=failing)
+    state, effects = _go_on(evolve(state, acceptor=acceptor), event)
+    if was_failing and not failing:
+        effects = [Note(event=LogEvent.PLATFORM_BACK, fields={}), *effects]
+    return state, effects
+
+
+def _go_on(state: BalancerState, event: PlatformAnswered) -> Step:
     acceptor = end_call(state.acceptor, event.purpose)
     now = event.now
     match event.purpose, event.outcome:
--- a/shedsill/_cli/operator.py
+++ b/shedsill/_cli/operator.py
@@ -52,7 +52,6 @@
 
 FINAL_PHASES = ("done", "rejected")
 ACCEPTED_PHASES = ("accepted", *FINAL_PHASES)
-ANY_VERSION = -1
 
 platform_option = click.option(
     "--platform",
--- a/shedsill/_packets.py
+++ b/shedsill/_packets.py
@@ -11,7 +11,6 @@
 from shedsill._keys import CONNECTION_ID_LENGTH
 
 MIN_INITIAL_SIZE = 1200
-MAX_DATAGRAM = 65_535
 
 
 class PacketKind(enum.Enum):
--- a/shedsill/_runtime/driver.py
+++ b/shedsill/_runtime/driver.py
@@ -35,7 +35,7 @@
 )
 from shedsill._frames import Heartbeat, decode_frame, encode_frame
 from shedsill._keys import KeyRing, open_envelope
-from shedsill._reducer import State, reduce
+from shedsill._reducer import reduce
 from shedsill._runtime.notes import Notebook
 from shedsill.coordination.platform import Platform
 from shedsill.errors import DecodeError, InvariantError
@@ -251,6 +251,3 @@
         return
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER)
-
-
-__all__ = ["Driver", "State", "enlarge_buffers"]
--- a/shedsill/_runtime/exchange.py
+++ b/shedsill/_runtime/exchange.py
@@ -87,8 +87,6 @@
         Where it came from; -1 where another agent passed it on.
     announced : bool
         Whether the reducer knows of it.
-    answered : bool
-        Whether its final answer, or part of it, has gone out.
     reply : asyncio.Future or None
         Where a passed request's answer goes.
     """
@@ -102,7 +100,6 @@
     headers: tuple[Header, ...]
     body: Body = field(factory=Body)
     announced: bool = False
-    answered: bool = False
     reply: asyncio.Future | None = None
     task: asyncio.Task | None = None
 
--- a/shedsill/_runtime/flows.py
+++ b/shedsill/_runtime/flows.py
@@ -380,7 +380,6 @@
         flow = self._find(exchange)
         if flow is None or flow.http is None:
             return
-        exchange.answered = True
         pairs = [(b":status", str(status).encode())]
         pairs += [
             (encode_text(header.name), encode_text(header.value)) for header in headers
--- a/shedsill/_runtime/upstream.py
+++ b/shedsill/_runtime/upstream.py
@@ -20,7 +20,6 @@
 
 CONNECT_TIMEOUT = 2.0
 LOAD_TIMEOUT = 1.0
-READ_SIZE = 65_536
 SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 DROPPED_HEADERS = HOP_BY_HOP | {"idempotency-key", "host"}
 
--- a/shedsill/tests/test_guards.py
+++ b/shedsill/tests/test_guards.py
@@ -239,6 +239,13 @@
     return None
 
 
+def _forget_origin(state, request):
+    if request.origin is None:
+        return state
+    origins = state.ledger.origins.set(request.origin, _outcomes.Origin())
+    return evolve(state, ledger=evolve(state.ledger, origins=origins))
+
+
 def _keep_state(state, *_arguments, **_options):
     return state, []
 
@@ -257,19 +264,7 @@
         Guard(
             _settling,
             "record_unknown",
-            lambda state, request: (
-                state
-                if request.origin is None
-                else evolve(
-                    state,
-                    ledger=evolve(
-                        state.ledger,
-                        origins=state.ledger.origins.set(
-                            request.origin, _outcomes.Origin()
-                        ),
-                    ),
-                )
-            ),
+            _forget_origin,
         ),
         unknown_never_runs_again,
     ),
@@ -277,19 +272,7 @@
         Guard(
             _settling,
             "record_refusal",
-            lambda state, request: (
-                state
-                if request.origin is None
-                else evolve(
-                    state,
-                    ledger=evolve(
-                        state.ledger,
-                        origins=state.ledger.origins.set(
-                            request.origin, _outcomes.Origin()
-                        ),
-                    ),
-                )
-            ),
+            _forget_origin,
         ),
         refused_ticket_stays_refused,
     ),
