--- a/shedsill/_outcomes.py
+++ b/shedsill/_outcomes.py
@@ -15,6 +15,7 @@
 
 MAX_RECORDS = 20_000
 MAX_RECORDED_BODY = 262_144
+MAX_OCTETS = 64 * 1024 * 1024
 TICKET_LIFETIME = 120.0
 
 
@@ -84,10 +85,17 @@
 
 @frozen(kw_only=True)
 class Ledger:
-    """The records of one agent, its own and those it has taken over."""
+    """The records of one agent, its own and those it has taken over.
+
+    Attributes
+    ----------
+    size, octets : int
+        Number of records, and octets of the answers in them.
+    """
 
     origins: immutables.Map[OutcomeKey, Origin] = field(factory=immutables.Map)
     size: int = 0
+    octets: int = 0
 
 
 def has_origin(ledger: Ledger, key: OutcomeKey) -> bool:
@@ -126,9 +134,17 @@
     0
     """
     origin = ledger.origins.get(key, Origin())
-    grown = 0 if number in origin.records else 1
+    known = origin.records.get(number)
     origin = evolve(origin, records=origin.records.set(number, record))
-    return Ledger(origins=ledger.origins.set(key, origin), size=ledger.size + grown)
+    return Ledger(
+        origins=ledger.origins.set(key, origin),
+        size=ledger.size + (known is None),
+        octets=ledger.octets + _weigh(record) - _weigh(known),
+    )
+
+
+def _weigh(record: Record | None) -> int:
+    return len(record.answer.body) if isinstance(record, Done) else 0
 
 
 def is_full(ledger: Ledger) -> bool:
@@ -137,22 +153,25 @@
     Refusals are recorded all the same; they are small, and their number is
     bounded by the rate of requests and the lifetime of tickets.
     """
-    return ledger.size >= MAX_RECORDS
+    return ledger.size >= MAX_RECORDS or ledger.octets >= MAX_OCTETS
 
 
 def drop_expired(ledger: Ledger, now: float) -> Ledger:
     """Drop records whose ticket has expired, but for those still running."""
     origins = ledger.origins
+    octets = ledger.octets
     for key, origin in ledger.origins.items():
         kept = origin.records
         for number, record in origin.records.items():
             if record.expires < now and not isinstance(record, Running):
                 kept = kept.delete(number)
+                octets -= _weigh(record)
         if kept is not origin.records:
             origins = origins.set(key, evolve(origin, records=kept))
     if origins is ledger.origins:
         return ledger
-    return Ledger(origins=origins, size=sum(len(o.records) for o in origins.values()))
+    size = sum(len(origin.records) for origin in origins.values())
+    return Ledger(origins=origins, size=size, octets=octets)
 
 
 @frozen(kw_only=True)
--- a/shedsill/coordination/__init__.py
+++ b/shedsill/coordination/__init__.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from shedsill._addresses import Address
+from shedsill._frames import NodeReport
 from shedsill.coordination.backoff import Backoff, get_delay
 from shedsill.coordination.lease import (
     Lease,
@@ -54,6 +56,7 @@
 from shedsill.coordination.watch import watch_kinds
 
 __all__ = [
+    "Address",
     "Backoff",
     "Call",
     "Changed",
@@ -70,6 +73,7 @@
     "Member",
     "Membership",
     "MemoryPlatform",
+    "NodeReport",
     "Outcome",
     "Platform",
     "Pull",
