--- a/shedsill/_cli/exits.py
+++ b/shedsill/_cli/exits.py
@@ -1,4 +1,4 @@
-"""Exit codes, as documented in ``docs/settings.md``."""
+"""Exit codes, as documented in ``docs/operations.md``."""
 
 from __future__ import annotations
 
