--- a/shedsill/_flows.py
+++ b/shedsill/_flows.py
@@ -111,6 +111,9 @@
     """Do as before; but a flow passed on in vain is kept here in the end."""
     if decision.upstream == state.upstream:
         return state, [_deliver(frame, reply_to, fresh=True)]
+    if frame.passed:
+        # Two agents that each chose the other would hand it to and fro for ever.
+        return _place(state, event, frame, packet, reply_to)
     target = state.node.configuration.find_upstream(decision.upstream)
     waited = event.now - decision.at > PASS_PATIENCE
     if target is None or (waited and state.leaving is None):
--- a/shedsill/testing/ports.py
+++ b/shedsill/testing/ports.py
@@ -1,21 +1,55 @@
-"""Free ports on loopback."""
+"""Free ports on loopback, below those that the kernel hands out.
+
+A port from the kernel's own range could be taken by any outgoing connection, or
+by another test, between being found free and being used.  Each worker of a test
+run has a range of its own.
+"""
 
 from __future__ import annotations
 
 import contextlib
+import itertools
+import os
 import socket
 
+WORKER_VARIABLE = "PYTEST_XDIST_WORKER"
+WORKER_PREFIX = "gw"
+FIRST_PORT = 10_000
+PORTS_PER_WORKER = 800
+MAX_WORKERS = 12
+FREE_FIRST = FIRST_PORT + PORTS_PER_WORKER * MAX_WORKERS
+FREE_COUNT = 12_000
+_steps = itertools.count()
+
 
 def find_ports(count: int) -> list[int]:
     """Return free loopback ports, for UDP and TCP alike."""
+    first, length = _get_range()
+    ports: list[int] = []
+    for _ in range(length):
+        port = first + next(_steps) % length
+        if _is_free(port):
+            ports.append(port)
+        if len(ports) == count:
+            return ports
+    raise OSError(f"no {count} free ports from {first} to {first + length}")
+
+
+def _get_range() -> tuple[int, int]:
+    worker = os.environ.get(WORKER_VARIABLE, "")
+    if worker.startswith(WORKER_PREFIX):
+        index = int(worker.removeprefix(WORKER_PREFIX)) % MAX_WORKERS
+        return FIRST_PORT + index * PORTS_PER_WORKER, PORTS_PER_WORKER
+    offset = os.getpid() * 64 % (FREE_COUNT - PORTS_PER_WORKER)
+    return FREE_FIRST + offset, PORTS_PER_WORKER
+
+
+def _is_free(port: int) -> bool:
     with contextlib.ExitStack() as stack:
-        ports = []
-        while len(ports) < count:
-            tcp = stack.enter_context(socket.socket())
-            tcp.bind(("127.0.0.1", 0))
-            port = tcp.getsockname()[1]
-            udp = stack.enter_context(socket.socket(type=socket.SOCK_DGRAM))
-            with contextlib.suppress(OSError):
-                udp.bind(("127.0.0.1", port))
-                ports.append(port)
-        return ports
+        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+            probe = stack.enter_context(socket.socket(type=kind))
+            try:
+                probe.bind(("", port))
+            except OSError:
+                return False
+    return True
--- a/shedsill/testing/world.py
+++ b/shedsill/testing/world.py
@@ -80,6 +80,7 @@
 KEYS = KeyRing((bytes(range(32)),))
 TICK = 0.05
 MAX_SETTLE_STEPS = 20_000
+MAX_DELIVERIES = 20_000
 OUTCOME_HEADER = "shedsill-outcome"
 CLASSES = (
     RequestClass(name="claim", method="POST", path="/claim", deadline=5.0),
@@ -397,13 +398,21 @@
         """Deliver everything, and let time pass in small steps."""
         end = self.now + seconds
         for _ in range(MAX_SETTLE_STEPS):
-            while self.messages:
-                self.deliver(0)
+            self._deliver_all()
             if self.now >= end:
                 return
             self.advance(step)
         raise OracleError("the system does not settle")
 
+    def _deliver_all(self) -> None:
+        """Deliver until nothing is on its way; endless talk is a fault."""
+        for _ in range(MAX_DELIVERIES):
+            if not self.messages:
+                return
+            self.deliver(0)
+        kinds = sorted({type(message).__name__ for message in self.messages})
+        raise OracleError(f"nodes talk without end: {kinds} {self.messages[:4]}")
+
     def advance(self, seconds: float) -> None:
         """Let time pass; upstreams notice closed connections, nodes tick."""
         self.now += seconds
--- /dev/null
+++ b/shedsill/tests/test_flows.py
@@ -0,0 +1,67 @@
+"""What an agent does with a caller's first packets."""
+
+from __future__ import annotations
+
+import immutables
+import pytest
+from attrs import evolve
+
+from shedsill._addresses import Address
+from shedsill._agent_state import AgentState, Leaving, Placed
+from shedsill._effects import Deliver, RefuseFlow, Send
+from shedsill._events import ConfigurationOffered, FrameReceived
+from shedsill._frames import ToUpstream
+from shedsill._node import Node
+from shedsill._reducer import reduce
+from shedsill.tests.test_routing import CONFIGURATION, KEYS, make_initial
+
+CID = b"12345678"
+BALANCER = Address("10.0.9.1", 7000)
+
+
+def make_agent() -> AgentState:
+    """Return the agent of d1, upstream 1, with the configuration in force."""
+    node = Node(
+        name="d1", address=Address("10.1.0.1", 7000), balancer=False, incarnation=1
+    )
+    state = AgentState(
+        node=node, keys=KEYS, upstream_name="d1", service_name="dispatcher"
+    )
+    offered = ConfigurationOffered(configuration=CONFIGURATION, now=1.0)
+    return reduce(state, offered)[0]
+
+
+def take(state: AgentState, *, passed: bool) -> list[type]:
+    """Give the agent a first packet; return the classes of its effects."""
+    frame = ToUpstream(
+        generation=1,
+        service=1,
+        upstream=1,
+        caller=Address("10.9.0.1", 5),
+        datagram=make_initial(CID),
+        reply_to=BALANCER if passed else None,
+    )
+    event = FrameReceived(frame=frame, source=BALANCER, now=2.0)
+    _state, effects = reduce(state, event)
+    wanted = (Deliver, RefuseFlow, Send)
+    return [type(effect) for effect in effects if isinstance(effect, wanted)]
+
+
+@pytest.mark.parametrize(
+    ("passed", "leaving", "effect"),
+    [
+        (False, False, Send),
+        (True, False, Deliver),
+        (False, True, Send),
+        (True, True, RefuseFlow),
+    ],
+)
+def test_flow_that_was_passed_on_is_never_passed_on_again(
+    passed: bool, leaving: bool, effect: type
+) -> None:
+    """The agent chose upstream 2 for this ID, and upstream 2 may have chosen it."""
+    decisions = immutables.Map({CID: Placed(upstream=2, at=1.9)})
+    state = evolve(make_agent(), decisions=decisions)
+    if leaving:
+        state = evolve(state, leaving=Leaving(since=1.0))
+    assert take(state, passed=passed) == [effect]
