--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -13,7 +13,7 @@
 from attrs import define, field
 from hdrh.histogram import HdrHistogram
 
-from benchmarks.placement import Field, make_agent, make_service, run_steady
+from benchmarks.placement import make_agent, make_steady
 from benchmarks.results import Result
 from shedsill._accepting import Inputs, accept
 from shedsill._addresses import Address
@@ -202,13 +202,7 @@
     Each upstream's share of the work is its share of the flows, as the steady
     scene of the placement benchmark leaves them.
     """
-    playing = Field(
-        strategy=TwoCandidates(),
-        lag=0.1,
-        generator=random.Random(11),
-        inputs=make_service(BALANCED_UPSTREAMS),
-    )
-    run_steady(playing, BALANCED_UPSTREAMS)
+    playing = make_steady(BALANCED_UPSTREAMS)
     flows = [agent.flows for agent in playing.agents.values()]
     mean = sum(flows) / len(flows)
     busy = []
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -329,15 +329,21 @@
     return results + _measure_black_hole() + _measure_slow()
 
 
-def _measure_black_hole() -> list[Result]:
-    """Measure how many new flows go to an upstream that sheds everything."""
+def make_steady(upstreams: int) -> Field:
+    """Return a field under the policy in use, as the steady scene leaves it."""
     playing = Field(
         strategy=TwoCandidates(),
         lag=0.1,
         generator=random.Random(11),
-        inputs=make_service(7),
+        inputs=make_service(upstreams),
     )
-    run_steady(playing, 7)
+    run_steady(playing, upstreams)
+    return playing
+
+
+def _measure_black_hole() -> list[Result]:
+    """Measure how many new flows go to an upstream that sheds everything."""
+    playing = make_steady(7)
     hole = playing.agents[1]
     before = hole.flows
     admission = hole.admission
@@ -355,13 +361,7 @@
 
 def _measure_slow() -> list[Result]:
     """Measure how many new flows go to an upstream whose queue has grown."""
-    playing = Field(
-        strategy=TwoCandidates(),
-        lag=0.1,
-        generator=random.Random(11),
-        inputs=make_service(7),
-    )
-    run_steady(playing, 7)
+    playing = make_steady(7)
     slow = playing.agents[1]
     before = slow.flows
     admission = evolve(slow.admission, running=2 * slow.admission.slots)
