--- a/shedsill/tests/test_faults.py
+++ b/shedsill/tests/test_faults.py
@@ -226,6 +226,18 @@
     scene.world.thaw(scene.agent)
 
 
+def fault_kill_upstream(scene: Scene) -> None:
+    for run in scene.world.list_running():
+        if run.agent == scene.agent:
+            scene.world.finish(run, answered=False)
+    scene.world.settle(1.0)
+
+
+def fault_freeze_upstream(scene: Scene) -> None:
+    """Nothing that runs ends before every deadline has passed."""
+    scene.world.settle(8.0, step=0.1)
+
+
 def fault_cut_agent(scene: Scene) -> None:
     scene.world.cut.add(scene.agent)
     scene.world.settle(10.0, step=0.25)
--- a/shedsill/tests/test_process_faults.py
+++ b/shedsill/tests/test_process_faults.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import os
+import pathlib
 import signal
 import socket
 from collections.abc import Iterator
 
 import aiohttp
 import pytest
+import yaml
 
 from shedsill.testing.client import HttpClient, Response, open_client, wait_for_body
 from shedsill.testing.documents import make_layout
@@ -49,6 +51,19 @@
     return response.body.split()[0].decode()
 
 
+def apply_upstreams(cluster: Cluster, name: str, leaving: bool) -> None:
+    """Take an upstream out of its set, or put it back as one that joins."""
+    documents = list(yaml.safe_load_all(cluster.documents))
+    for document in documents:
+        spec = document["spec"]
+        if leaving and "upstreams" in spec:
+            kept = [u for u in spec["upstreams"] if u["name"] != name]
+            spec["upstreams"] = kept
+    path = pathlib.Path(cluster.directory) / "changed.yaml"
+    path.write_text(yaml.safe_dump_all(documents))
+    cluster.run_command("apply", "--force", "--wait", "-f", str(path))
+
+
 async def withdraw(cluster: Cluster, *names: str) -> None:
     hosts = [cluster.balancers[name].host for name in names]
     body = {"withdrawn": hosts}
@@ -56,7 +71,7 @@
 
 
 def test_streams_survive_rolling_replacement(cluster: Cluster) -> None:
-    """Replace every balancer while an upstream drains and keys rotate."""
+    """Replace every balancer; an upstream drains, leaves and joins; keys rotate."""
 
     async def replace(name: str) -> None:
         await withdraw(cluster, name)
@@ -80,6 +95,9 @@
                 await expect_more(streams)
             await asyncio.to_thread(cluster.run_command, "undrain", drained)
             await expect_more(streams)
+            for leaving in (True, False):
+                await asyncio.to_thread(apply_upstreams, cluster, drained, leaving)
+                await expect_more(streams)
         async with open_client(front) as client:
             claim = await client.request("POST", "/claim", body=b"after")
             assert claim.status == 200
