--- a/shedsill/_effects.py
+++ b/shedsill/_effects.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import enum
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from attrs import frozen
 
 from shedsill._addresses import Address
-from shedsill._catalogue import LogEvent
 from shedsill._configuration import Configuration
 from shedsill._frames import Frame
+from shedsill._shared_effects import Exit, Note
 from shedsill.coordination.platform import Call
 
 if TYPE_CHECKING:
@@ -224,19 +224,6 @@
     """Send GOAWAY on every connection."""
 
 
-@frozen(kw_only=True)
-class Note:
-    """Write a log line and count it."""
-
-    event: LogEvent
-    fields: dict[str, Any]
-
-
-@frozen(kw_only=True)
-class Exit:
-    """End the process: the planned stop is complete."""
-
-
 Effect = (
     Send
     | SendToCaller
--- a/shedsill/_frames.py
+++ b/shedsill/_frames.py
@@ -9,6 +9,7 @@
 
 from shedsill._addresses import Address
 from shedsill._keys import KeyRing, open_envelope, seal_envelope
+from shedsill.coordination.membership import NodeReport
 from shedsill.errors import DecodeError
 
 capnp.remove_import_hook()
@@ -83,25 +84,6 @@
     datagram: bytes
 
 
-@frozen(kw_only=True)
-class NodeReport:
-    """What is known of one node.
-
-    Attributes
-    ----------
-    beat : int
-        Counts the heartbeats of one incarnation; the higher one is newer.
-    """
-
-    name: str
-    address: Address
-    balancer: bool
-    incarnation: int
-    beat: int
-    generation: int
-    leaving: bool = False
-
-
 @frozen(kw_only=True)
 class Heartbeat:
     """Liveness, load and generations; sent to a few peers at a time."""
--- a/shedsill/coordination/__init__.py
+++ b/shedsill/coordination/__init__.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from shedsill._addresses import Address
-from shedsill._frames import NodeReport
 from shedsill.coordination.backoff import Backoff, get_delay
 from shedsill.coordination.lease import (
     Lease,
@@ -19,6 +18,7 @@
 from shedsill.coordination.membership import (
     Member,
     Membership,
+    NodeReport,
     choose_peers,
     choose_reports,
     list_live,
@@ -31,6 +31,7 @@
     Delete,
     Found,
     Get,
+    HistoryGone,
     List,
     Listing,
     ListMachines,
@@ -53,7 +54,7 @@
     note_generation,
 )
 from shedsill.coordination.update import Unchanged, update_object
-from shedsill.coordination.watch import watch_kinds
+from shedsill.coordination.watch import watch_changes, watch_kinds
 
 __all__ = [
     "Address",
@@ -64,6 +65,7 @@
     "Delete",
     "Found",
     "Get",
+    "HistoryGone",
     "Lease",
     "List",
     "ListMachines",
@@ -96,5 +98,6 @@
     "note_outcome",
     "plan_call",
     "update_object",
+    "watch_changes",
     "watch_kinds",
 ]
--- a/shedsill/coordination/membership.py
+++ b/shedsill/coordination/membership.py
@@ -14,7 +14,6 @@
 from attrs import field, frozen
 
 from shedsill._addresses import Address
-from shedsill._frames import NodeReport
 
 SILENT_AFTER = 5.0
 FORGET_AFTER = 60.0
@@ -24,6 +23,25 @@
 MAX_MEMBERS = 512
 
 
+@frozen(kw_only=True)
+class NodeReport:
+    """What is known of one node.
+
+    Attributes
+    ----------
+    beat : int
+        Counts the heartbeats of one incarnation; the higher one is newer.
+    """
+
+    name: str
+    address: Address
+    balancer: bool
+    incarnation: int
+    beat: int
+    generation: int
+    leaving: bool = False
+
+
 @frozen(kw_only=True)
 class Member:
     """A report and the local time at which it was news."""
--- a/shedsill/coordination/platform.py
+++ b/shedsill/coordination/platform.py
@@ -60,10 +60,27 @@
 
 @frozen(kw_only=True)
 class Changed:
-    """What a watch saw; `objects` may be empty when it timed out."""
+    """What a watch saw; nothing when it timed out.
+
+    Attributes
+    ----------
+    names : tuple of str
+        What has changed, as ``KIND/NAME``.
+    objects : tuple of StoredObject
+        The changed objects, from a platform whose watches carry them.
+    deleted : tuple of str
+        Names of deleted objects, from such a platform.
+    """
 
     names: tuple[str, ...]
     revision: int
+    objects: tuple[StoredObject, ...] = ()
+    deleted: tuple[str, ...] = ()
+
+
+@frozen(kw_only=True)
+class HistoryGone:
+    """The platform no longer has the changes since a watch's revision."""
 
 
 @frozen(kw_only=True)
@@ -152,7 +169,9 @@
 
 
 Call = Get | List | Put | Delete | Watch | ListMachines
-Outcome = Stored | Conflict | Found | Listing | Changed | Machines | Unavailable
+Outcome = (
+    Stored | Conflict | Found | Listing | Changed | HistoryGone | Machines | Unavailable
+)
 
 
 class Platform(Protocol):
--- a/shedsill/coordination/watch.py
+++ b/shedsill/coordination/watch.py
@@ -7,9 +7,11 @@
 from shedsill.coordination.backoff import Backoff, get_delay
 from shedsill.coordination.platform import (
     Changed,
+    HistoryGone,
     List,
     Listing,
     Platform,
+    Unavailable,
     Watch,
 )
 
@@ -60,3 +62,61 @@
         if not isinstance(changed, Changed):
             failures += 1
             await sleep(get_delay(backoff, failures))
+
+
+async def watch_changes(
+    platform: Platform,
+    kind: str,
+    *,
+    sleep: Callable[[float], Awaitable[None]],
+    patience: float = DEFAULT_PATIENCE,
+    pause: float = 0.0,
+    backoff: Backoff | None = None,
+) -> AsyncIterator[Listing | Changed | Unavailable]:
+    """Yield a listing at first and then only what has changed since.
+
+    For platforms whose watches carry the changed objects: one call a change
+    instead of two.  Where history is gone, a new listing follows.  Failures are
+    yielded too, so that the caller can note them.
+
+    Parameters
+    ----------
+    pause : float
+        Seconds to wait after a change, so that changes that come close
+        together are fetched in one call.
+
+    Examples
+    --------
+    >>> import asyncio
+    >>> from shedsill.coordination import MemoryPlatform, watch_changes
+    >>> async def read_first():
+    ...     async for listing in watch_changes(
+    ...         MemoryPlatform(), "service", sleep=asyncio.sleep
+    ...     ):
+    ...         return listing
+    >>> asyncio.run(read_first())
+    Listing(objects=(), revision=0)
+    """
+    backoff = backoff or Backoff()
+    revision: int | None = None
+    failures = 0
+    while True:
+        if revision is None:
+            outcome = await platform.call(List(kinds=(kind,)))
+        else:
+            outcome = await platform.call(
+                Watch(kinds=(kind,), revision=revision, patience=patience)
+            )
+        match outcome:
+            case Listing() | Changed():
+                failures = 0
+                revision = outcome.revision
+                yield outcome
+                if isinstance(outcome, Changed) and outcome.names and pause:
+                    await sleep(pause)
+            case HistoryGone():
+                revision = None
+            case Unavailable():
+                failures += 1
+                yield outcome
+                await sleep(get_delay(backoff, failures))
--- /dev/null
+++ b/shedsill/datagram/_messages.py
@@ -0,0 +1,239 @@
+"""Messages between balancers and agents, one in a UDP datagram.
+
+A message is one octet for its class and the msgpack form of its attributes.
+pycapnp, which frames of the HTTP/3 product use, costs a third of the CPU and
+memory that a node may spend on its start here; msgspec checks the types too.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+from attrs import frozen
+
+from shedsill.errors import DecodeError
+
+
+class Role(enum.Enum):
+    """What a node does."""
+
+    BALANCER = "balancer"
+    AGENT = "agent"
+
+
+class UpstreamState(enum.Enum):
+    """Whether an upstream takes new flows, as its agent knows."""
+
+    UNKNOWN = "unknown"
+    READY = "ready"
+    DRAINING = "draining"
+    UNRESPONSIVE = "unresponsive"
+    GONE = "gone"
+
+
+@frozen(kw_only=True)
+class Load:
+    """How full an upstream is, as its agent counts it.
+
+    Attributes
+    ----------
+    busy : int
+        Requests sent and not answered yet.
+    average : float
+        `busy`, averaged over the last second or two.
+    slots : int
+        Requests that the upstream works on at once; 0 where not known yet.
+    flows : int
+        Open flows.
+    cold : float
+        Seconds for which the upstream still works slowly after its start.
+    """
+
+    busy: int = 0
+    average: float = 0.0
+    slots: int = 0
+    flows: int = 0
+    cold: float = 0.0
+
+
+@frozen(kw_only=True)
+class NodeReport:
+    """What a node says of itself; kept in the platform's store too.
+
+    Attributes
+    ----------
+    host : str
+        IP number; ports are the same on all nodes.
+    incarnation : int
+        Drawn at each start of the process.
+    serial : int
+        Grows with each change within one incarnation.
+    service : str
+        The upstream's service; empty for a balancer.
+    boot : str
+        Identifier of the upstream's current run; empty where not known yet.
+    stopping : bool
+        Whether the process has been asked to stop; the upstream may live on.
+    version : int
+        Version of the forwarding table in force; 0 for agents.
+    """
+
+    host: str
+    role: Role
+    zone: str
+    incarnation: int
+    serial: int = 0
+    service: str = ""
+    boot: str = ""
+    state: UpstreamState = UpstreamState.UNKNOWN
+    stopping: bool = False
+    load: Load = Load()
+    version: int = 0
+
+
+@frozen(kw_only=True)
+class Announcement:
+    """A node's report, sent when it changes and as an answer to `Probe`."""
+
+    report: NodeReport
+
+
+@frozen(kw_only=True)
+class Probe:
+    """Asks for an `Announcement`; carries the asking node's own report."""
+
+    report: NodeReport
+
+
+@frozen(kw_only=True)
+class Roster:
+    """The nodes that a balancer knows, for one that has just started."""
+
+    reports: list[NodeReport]
+
+
+@frozen(kw_only=True)
+class FlowTaken:
+    """The upstream has answered an opening packet.
+
+    Attributes
+    ----------
+    initial_seq : int
+        The sequence number that the upstream chose for the flow.
+    """
+
+    flow: bytes
+    boot: str
+    initial_seq: int
+    load: Load
+
+
+@frozen(kw_only=True)
+class Locate:
+    """Asks an agent which of these flows its upstream holds."""
+
+    flows: list[bytes]
+
+
+@frozen(kw_only=True)
+class Located:
+    """Answer to `Locate`; each flow asked for is in one of the lists.
+
+    Attributes
+    ----------
+    held : list of bytes
+        Flows that the upstream holds.
+    unknown : list of bytes
+        Flows that the upstream certainly does not hold.
+    unsure : list of bytes
+        Flows that it may have held since before the agent's start; only a
+        packet of the flow, given to the upstream, can tell.
+    """
+
+    boot: str
+    held: list[bytes]
+    unknown: list[bytes]
+    unsure: list[bytes]
+    load: Load
+
+
+class ReturnReason(enum.Enum):
+    """Why a packet came back to the balancer."""
+
+    REFUSED = "refused"
+    NOT_TAKING = "not taking new flows"
+    NOT_HELD = "flow is not held"
+    WRONG_SERVICE = "another service"
+
+
+@frozen(kw_only=True)
+class PacketReturned:
+    """A packet that the agent's upstream did not take.
+
+    Attributes
+    ----------
+    packet : bytes
+        The packet, as it came from the caller.
+    """
+
+    packet: bytes
+    boot: str
+    reason: ReturnReason
+    load: Load
+
+
+Message = Announcement | Probe | Roster | FlowTaken | Locate | Located | PacketReturned
+
+_CLASSES: tuple[type, ...] = (
+    Announcement,
+    Probe,
+    Roster,
+    FlowTaken,
+    Locate,
+    Located,
+    PacketReturned,
+)
+_CODES = {cls: bytes([code]) for code, cls in enumerate(_CLASSES)}
+_DECODERS = [msgspec.msgpack.Decoder(cls) for cls in _CLASSES]
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+def encode_message(message: Message) -> bytes:
+    """Return the octets of a message.
+
+    Examples
+    --------
+    >>> decode_message(encode_message(Locate(flows=[b"a"])))
+    Locate(flows=[b'a'])
+    """
+    return _CODES[type(message)] + _ENCODER.encode(message)
+
+
+def decode_message(octets: bytes) -> Message:
+    """Read a message.
+
+    Raises
+    ------
+    DecodeError
+        If the octets are not a message of a known class.
+    """
+    if not octets or octets[0] >= len(_DECODERS):
+        raise DecodeError(f"no message class {octets[:1]!r}")
+    try:
+        return _DECODERS[octets[0]].decode(octets[1:])
+    except msgspec.MsgspecError as error:
+        raise DecodeError(f"not a message: {error}") from error
+
+
+def dump_report(report: NodeReport) -> dict:
+    """Return a report in the JSON form that the platform's store keeps."""
+    return msgspec.to_builtins(report)
+
+
+def load_report(value: object) -> NodeReport:
+    """Read a report from its JSON form; raises `DecodeError`."""
+    try:
+        return msgspec.convert(value, NodeReport)
+    except msgspec.MsgspecError as error:
+        raise DecodeError(f"not a node's report: {error}") from error
--- /dev/null
+++ b/shedsill/datagram/_nodes.py
@@ -0,0 +1,166 @@
+"""What a balancer knows of the other nodes.
+
+Agents and balancers keep a report of themselves in the platform's store, and
+tell those they have heard of directly.  Direct news and the store may come in
+any order; the incarnation and serial of a report tell which is later.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from attrs import define, evolve, field
+
+from shedsill.datagram._messages import Load, NodeReport, Role
+from shedsill.datagram._selection import UpstreamView
+
+SILENT_AFTER = 0.5
+"""Seconds without a word after which an agent that holds flows is asked; long
+enough that agents under traffic are never asked."""
+
+ASK_INTERVAL = 0.15
+"""Seconds between questions to an agent that does not answer."""
+
+LOST_AFTER = 1.0
+"""Seconds of silence after which an agent's flows are given up.  Far above the
+0.1 s for which a VM out of processor quota stands still, and below the deadline
+of any request, so that callers have time for another try."""
+
+LOST_QUESTIONS = 5
+"""Questions that must have gone unanswered by then; datagrams may be lost."""
+
+LOST_ASK_INTERVAL = 0.5
+"""Seconds between questions to an agent that was given up."""
+
+
+@define
+class Nodes:
+    """All nodes known to one balancer.
+
+    Attributes
+    ----------
+    upstreams : dict of str to UpstreamView
+        Agents by host.
+    balancers : dict of str to NodeReport
+        Other balancers by host.
+    listed : bool
+        Whether the store has been read since the start.
+    """
+
+    upstreams: dict[str, UpstreamView] = field(factory=dict)
+    balancers: dict[str, NodeReport] = field(factory=dict)
+    listed: bool = False
+
+    def list_service(self, service: str) -> list[UpstreamView]:
+        """Return the upstreams of a service."""
+        return [v for v in self.upstreams.values() if v.report.service == service]
+
+
+def is_news(report: NodeReport, known: NodeReport, *, direct: bool) -> bool:
+    """Whether a report replaces the one known.
+
+    Within an incarnation the serial decides.  Incarnations are not ordered: a
+    report of another one is believed when it comes from the node itself.
+
+    Examples
+    --------
+    >>> one = NodeReport(host="a", role=Role.AGENT, zone="z", incarnation=1, serial=4)
+    >>> is_news(evolve(one, serial=5), one, direct=False)
+    True
+    >>> is_news(evolve(one, incarnation=2, serial=0), one, direct=False)
+    False
+    """
+    if report.incarnation != known.incarnation:
+        return direct
+    return report.serial > known.serial
+
+
+def merge_report(
+    nodes: Nodes, report: NodeReport, now: float, *, direct: bool, silent: bool = False
+) -> NodeReport | None:
+    """Take in one report; return the one that it replaced, if any.
+
+    Parameters
+    ----------
+    direct : bool
+        Whether it came from the node itself rather than through the store.
+    silent : bool
+        Whether the node known by that host does not answer, so that a report
+        of another incarnation is believed whoever brings it.
+    """
+    if report.role == Role.BALANCER:
+        known = nodes.balancers.get(report.host)
+        if known is None or is_news(report, known, direct=direct or silent):
+            nodes.balancers[report.host] = report
+        return known
+    view = nodes.upstreams.get(report.host)
+    if view is None:
+        nodes.upstreams[report.host] = UpstreamView(report=report, heard=now)
+        return None
+    before = view.report
+    if is_news(report, before, direct=direct or silent or view.lost):
+        if not direct:
+            report = evolve(report, load=before.load)
+        view.report = report
+        view.offered = 0
+    if direct:
+        note_heard(view, now)
+    return before
+
+
+def note_heard(view: UpstreamView, now: float) -> None:
+    """Note that an agent has said something."""
+    view.heard = now
+    view.silent_since = None
+    view.questions = 0
+    view.suspect = False
+    view.lost = False
+
+
+def note_load(view: UpstreamView, load: Load, boot: str, now: float) -> None:
+    """Take in the load that came with another message."""
+    note_heard(view, now)
+    view.offered = 0
+    if boot == view.report.boot:
+        view.report = evolve(view.report, load=load)
+
+
+def is_due(view: UpstreamView, now: float, *, holds_flows: bool) -> bool:
+    """Whether an agent has to be asked now whether it is alive."""
+    if view.silent_since is None:
+        return (holds_flows or view.suspect) and now - view.heard >= SILENT_AFTER
+    interval = LOST_ASK_INTERVAL if view.lost else ASK_INTERVAL
+    return now - view.asked >= interval
+
+
+def note_asked(view: UpstreamView, now: float) -> None:
+    """Note that an agent was asked."""
+    if view.silent_since is None:
+        view.silent_since = now
+    view.asked = now
+    view.questions += 1
+    if view.questions > 1:
+        view.suspect = True
+
+
+def suspect(view: UpstreamView, now: float) -> None:
+    """Note that an agent has left something unanswered; ask it next."""
+    view.suspect = True
+    if view.silent_since is None:
+        view.silent_since = now
+        view.asked = now - ASK_INTERVAL
+
+
+def is_lost(view: UpstreamView, now: float) -> bool:
+    """Whether the flows of a silent agent are to be given up now."""
+    if view.lost or view.silent_since is None or view.report.stopping:
+        return False
+    return now - view.silent_since >= LOST_AFTER and view.questions >= LOST_QUESTIONS
+
+
+def shift_silences(views: Iterable[UpstreamView], pause: float) -> None:
+    """Take back the silence that was this node's own: it did not run meanwhile."""
+    for view in views:
+        if view.silent_since is not None:
+            view.silent_since += pause
+            view.asked += pause
--- /dev/null
+++ b/shedsill/datagram/_packet.py
@@ -0,0 +1,66 @@
+"""Packets of opaque flows, as the reducers see them."""
+
+from __future__ import annotations
+
+from attrs import define
+
+SYN = 1
+ACK = 2
+FIN = 4
+RST = 8
+BOUNCED = 16
+"""Set by an upstream on a packet that it hands back, unchanged otherwise."""
+
+SEQUENCE_SPACE = 1 << 32
+
+
+@define(slots=True)
+class Packet:
+    """One packet; `data` is what is sent on, the rest was read from it.
+
+    Attributes
+    ----------
+    flow : bytes
+        Address pair of the flow, the same for both directions.
+    endpoint : bytes
+        Service address (IP number and port) of the flow, as a key of
+        `ForwardingTable.routes`.
+    flags : int
+        Any of `SYN`, `ACK`, `FIN`, `RST` and `BOUNCED`.
+    copy : int
+        How many copies of this opening packet the caller sent before; 0 for
+        other packets.
+    seq, ack : int
+        Sequence number of the first octet, and the next one expected from the
+        other end; modulo `SEQUENCE_SPACE`.
+    length : int
+        Octets of content.
+    balancer : str
+        For a bounced packet, the host of the balancer that had sent it.
+    """
+
+    flow: bytes
+    endpoint: bytes
+    flags: int
+    copy: int
+    seq: int
+    ack: int
+    length: int
+    data: bytes
+    balancer: str = ""
+
+
+def is_opening(packet: Packet) -> bool:
+    """Whether a packet asks for a new flow (a SYN without an ACK)."""
+    return packet.flags & (SYN | ACK) == SYN
+
+
+def measure_advance(later: int, earlier: int) -> int:
+    """Return how far one sequence number is ahead of another, modulo 2**32.
+
+    Examples
+    --------
+    >>> measure_advance(5, SEQUENCE_SPACE - 5)
+    10
+    """
+    return (later - earlier) % SEQUENCE_SPACE
--- /dev/null
+++ b/shedsill/datagram/_reducer.py
@@ -0,0 +1,102 @@
+"""The one reducer for nodes that carry opaque flows.
+
+It has no clock, randomness, socket or store inside; it changes the state that
+it is given and returns what has to be done.
+"""
+
+from __future__ import annotations
+
+from shedsill._shared_effects import Note
+from shedsill.datagram import _agent, _balancer
+from shedsill.datagram._agent import AgentState
+from shedsill.datagram._balancer import BalancerState
+from shedsill.datagram._effects import Effect
+from shedsill.datagram._events import (
+    CallerPacket,
+    Event,
+    ForwardedPacket,
+    HeartbeatReceived,
+    MessageReceived,
+    PacketsDrained,
+    ReportsListed,
+    StopRequested,
+    TableOffered,
+    Tick,
+    UpstreamChecked,
+    UpstreamLeft,
+    UpstreamPacket,
+)
+from shedsill.datagram._packet import Packet
+from shedsill.errors import InvariantError
+
+__all__ = ["Note", "reduce"]
+
+
+def reduce(
+    state: BalancerState | AgentState, event: Event, returned: Packet | None = None
+) -> list[Effect]:
+    """Take in one event and return what has to be done.
+
+    Parameters
+    ----------
+    state : BalancerState or AgentState
+        Changed in place.
+    returned : Packet or None
+        The packet inside a `PacketReturned`, decoded.
+
+    Raises
+    ------
+    InvariantError
+        If the event cannot happen to a node of this role.
+    """
+    match state:
+        case BalancerState():
+            return _reduce_balancer(state, event, returned)
+        case AgentState():
+            return _reduce_agent(state, event)
+
+
+def _reduce_balancer(
+    state: BalancerState, event: Event, returned: Packet | None
+) -> list[Effect]:
+    match event:
+        case CallerPacket():
+            return _balancer.take_packet(state, event)
+        case PacketsDrained():
+            return _balancer.take_drained(state, event)
+        case MessageReceived():
+            return _balancer.take_message(state, event, returned)
+        case Tick():
+            return _balancer.take_tick(state, event)
+        case ReportsListed():
+            return _balancer.take_listed(state, event)
+        case TableOffered():
+            return _balancer.take_table(state, event)
+        case StopRequested():
+            return _balancer.take_stop(state, event)
+        case _:
+            raise InvariantError(f"a balancer was given {type(event).__name__}")
+
+
+def _reduce_agent(state: AgentState, event: Event) -> list[Effect]:
+    match event:
+        case ForwardedPacket():
+            return _agent.take_forwarded(state, event)
+        case UpstreamPacket():
+            return _agent.take_upstream_packet(state, event)
+        case PacketsDrained():
+            return []
+        case MessageReceived():
+            return _agent.take_message(state, event)
+        case Tick():
+            return _agent.take_tick(state, event)
+        case HeartbeatReceived():
+            return _agent.take_heartbeat(state, event)
+        case UpstreamLeft():
+            return _agent.take_leave(state, event)
+        case UpstreamChecked():
+            return _agent.take_checked(state, event)
+        case StopRequested():
+            return _agent.take_stop(state, event)
+        case _:
+            raise InvariantError(f"an agent was given {type(event).__name__}")
--- /dev/null
+++ b/shedsill/datagram/_runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, clocks and calls around the reducer for opaque flows."""
--- /dev/null
+++ b/shedsill/datagram/_runtime/agent.py
@@ -0,0 +1,174 @@
+"""The agent's loop."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from shedsill._catalogue import LogEvent
+from shedsill._shared_effects import Note
+from shedsill.coordination.platform import Platform
+from shedsill.datagram import _agent
+from shedsill.datagram._agent import AgentState
+from shedsill.datagram._effects import (
+    CheckUpstream,
+    Effect,
+    SendToCaller,
+    SendToUpstream,
+)
+from shedsill.datagram._events import (
+    ForwardedPacket,
+    Heartbeat,
+    HeartbeatReceived,
+    UpstreamChecked,
+    UpstreamLeft,
+    UpstreamPacket,
+)
+from shedsill.datagram._messages import NodeReport
+from shedsill.datagram._runtime.http import Response
+from shedsill.datagram._runtime.node import HTTP_NOT_FOUND, HTTP_OK, Node
+from shedsill.datagram.adapter import HeartbeatCodec, NodeSettings, PacketCodec
+from shedsill.errors import DecodeError
+
+HTTP_BAD_REQUEST = 400
+CHECK_TIMEOUT = 0.5
+"""Seconds in which the port of a living upstream on the same VM takes a
+connection; it is local, and a VM out of quota stands still for 0.1 s."""
+
+
+class AgentNode(Node):
+    """Runs the agent beside one upstream."""
+
+    state: AgentState
+
+    def __init__(
+        self,
+        state: AgentState,
+        *,
+        settings: NodeSettings,
+        codec: PacketCodec,
+        platform: Platform,
+        heartbeats: HeartbeatCodec,
+    ) -> None:
+        super().__init__(state, settings=settings, codec=codec, platform=platform)
+        assert settings.upstream is not None
+        assert settings.outbound is not None
+        self._heartbeats = heartbeats
+        self._upstream = settings.upstream
+        self._packets = self.open_datagrams(settings.packets, self._take_forwarded)
+        self._outbound = self.open_datagrams(settings.outbound, self._take_upstream)
+
+    def begin(self) -> None:
+        """Make the agent known and take heartbeats."""
+        for effect in _agent.start(self.state, self.now):
+            self.carry_out(effect)
+        if self.settings.heartbeats is not None:
+            self.run_beside(
+                self.serve(self.settings.heartbeats, self._answer_heartbeat)
+            )
+
+    @property
+    def ready(self) -> bool:
+        """Whether the upstream takes new flows."""
+        return _agent.takes_flows(self.state)
+
+    def list_gauges(self) -> list[str]:
+        """Return the lines of figures that go up and down."""
+        return [
+            "# TYPE shedsill_flows gauge",
+            f"shedsill_flows {len(self.state.flows)}",
+            "# TYPE shedsill_busy gauge",
+            f"shedsill_busy {self.state.busy}",
+        ]
+
+    def carry_out(self, effect: Effect) -> None:
+        """Carry out an effect."""
+        match effect:
+            case SendToUpstream(packet=packet, balancer=balancer):
+                data = self.codec.encode_for_upstream(packet, balancer)
+                self.send(self._packets, data, self._upstream.pair)
+            case SendToCaller(packet=packet):
+                self.send_to_caller(packet.flow, packet.data)
+            case CheckUpstream():
+                self.run_beside(self._check_upstream())
+            case _:
+                super().carry_out(effect)
+
+    def _take_forwarded(self, data: bytes, source: str) -> None:
+        decoded = self.codec.decode_forwarded(data)
+        if decoded is None:
+            self.note_malformed(source, data)
+            return
+        packet, service = decoded
+        self.dispatch(
+            ForwardedPacket(
+                packet=packet, service=service, balancer=source, now=self.now
+            )
+        )
+
+    def _take_upstream(self, data: bytes, source: str) -> None:
+        packet = self.codec.decode_upstream(data)
+        if packet is None:
+            self.note_malformed(source, data)
+            return
+        self.dispatch(UpstreamPacket(packet=packet, now=self.now))
+
+    def _answer_heartbeat(self, method: str, path: str, body: bytes) -> Response:
+        try:
+            call = self._heartbeats.decode_call(method, path, body, self.now)
+        except DecodeError as error:
+            fields = {"method": method, "path": path, "error": str(error)}
+            self.write_note(Note(event=LogEvent.CALL_REFUSED, fields=fields))
+            return Response(status=HTTP_BAD_REQUEST, body=b"{}")
+        match call:
+            case Heartbeat():
+                self.dispatch(HeartbeatReceived(heartbeat=call, now=self.now))
+            case UpstreamLeft():
+                self.dispatch(call)
+            case None:
+                return Response(status=HTTP_NOT_FOUND, body=b"{}")
+        return Response(status=HTTP_OK, body=b"{}")
+
+    async def _check_upstream(self) -> None:
+        opened = refused = False
+        try:
+            async with asyncio.timeout(CHECK_TIMEOUT):
+                _reader, writer = await asyncio.open_connection(*self._upstream.pair)
+            opened = True
+            writer.transport.abort()
+        except ConnectionRefusedError:
+            refused = True
+        except (TimeoutError, OSError) as error:
+            fields = {"upstream": str(self._upstream), "error": repr(error)}
+            self.write_note(Note(event=LogEvent.UPSTREAM_UNREACHED, fields=fields))
+        self.dispatch(UpstreamChecked(open=opened, refused=refused, now=self.now))
+
+
+def make_agent(
+    settings: NodeSettings,
+    *,
+    codec: PacketCodec,
+    platform: Platform,
+    heartbeats: HeartbeatCodec,
+) -> AgentNode:
+    """Return an agent; call it inside the running loop."""
+    state = AgentState(
+        report=NodeReport(
+            host=settings.host,
+            role=settings.role,
+            zone=settings.zone,
+            incarnation=random.SystemRandom().getrandbits(48),
+            service=settings.service,
+        ),
+        seeds=settings.seeds,
+        flow_lifetime=settings.flow_lifetime,
+        stop_limit=settings.stop_limit,
+        complete=settings.first_start,
+    )
+    return AgentNode(
+        state,
+        settings=settings,
+        codec=codec,
+        platform=platform,
+        heartbeats=heartbeats,
+    )
--- /dev/null
+++ b/shedsill/datagram/_runtime/balancer.py
@@ -0,0 +1,236 @@
+"""The balancer's loop."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import msgspec
+
+from shedsill._addresses import Address
+from shedsill._catalogue import LogEvent
+from shedsill._shared_effects import Note
+from shedsill.coordination.backoff import Backoff
+from shedsill.coordination.platform import (
+    Changed,
+    Listing,
+    Platform,
+    StoredObject,
+    Unavailable,
+)
+from shedsill.coordination.watch import watch_changes
+from shedsill.datagram import _balancer
+from shedsill.datagram._balancer import BalancerState
+from shedsill.datagram._effects import Effect, ForwardPacket, PullTable
+from shedsill.datagram._events import CallerPacket, ReportsListed, TableOffered
+from shedsill.datagram._messages import NodeReport, load_report
+from shedsill.datagram._runtime.http import HttpClient, Response
+from shedsill.datagram._runtime.node import HTTP_NOT_FOUND, HTTP_OK, Node
+from shedsill.datagram._runtime.reports import REPORT_KIND
+from shedsill.datagram.adapter import NodeSettings, PacketCodec, TableSource
+from shedsill.errors import DecodeError
+
+TABLE_PATH = "/table"
+PULL_TIMEOUT = 1.0
+"""Seconds for reading the table from another balancer."""
+
+WATCH_PATIENCE = 25.0
+"""Seconds for which a watch waits; each one is a call that is paid for."""
+
+REPORT_PAUSE = 0.25
+"""Seconds between a change of reports and the next watch: when many nodes start
+together their reports come in a few calls, and direct news is faster anyway."""
+
+RETRY = Backoff(first=0.1, longest=1.0)
+"""Delays between tries while the store is away; a change of the table has to be
+in force within 3 s of the store's return."""
+
+
+class BalancerNode(Node):
+    """Runs a balancer of opaque flows."""
+
+    state: BalancerState
+
+    def __init__(
+        self,
+        state: BalancerState,
+        *,
+        settings: NodeSettings,
+        codec: PacketCodec,
+        platform: Platform,
+        source: TableSource,
+    ) -> None:
+        super().__init__(state, settings=settings, codec=codec, platform=platform)
+        self._source = source
+        self._stored_table: object = None
+        self._pulling = False
+        self._packets = self.open_datagrams(settings.packets, self._take_packet)
+
+    def begin(self) -> None:
+        """Start watching the store."""
+        for effect in _balancer.start(self.state, self.now):
+            self.carry_out(effect)
+        self.run_beside(self._watch_table())
+        self.run_beside(self._watch_reports())
+        self.run_beside(self._serve_peers())
+
+    async def _serve_peers(self) -> None:
+        await self.serve(self.settings.messages, self._answer_peer)
+        if self.settings.heartbeats is not None:
+            await self.serve(self.settings.heartbeats, self._answer_peer)
+
+    @property
+    def ready(self) -> bool:
+        """Whether routers should send packets here."""
+        return self.state.ready
+
+    def list_gauges(self) -> list[str]:
+        """Return the lines of figures that go up and down."""
+        return [
+            "# TYPE shedsill_flows gauge",
+            f"shedsill_flows {len(self.state.flows)}",
+            "# TYPE shedsill_searches gauge",
+            f"shedsill_searches {len(self.state.searches)}",
+            "# TYPE shedsill_table_version gauge",
+            f"shedsill_table_version {self.state.table.version}",
+        ]
+
+    def carry_out(self, effect: Effect) -> None:
+        """Carry out an effect."""
+        match effect:
+            case ForwardPacket(host=host, packet=packet, service=service):
+                data = self.codec.encode_forwarded(packet, service)
+                self.send(self._packets, data, (host, self.settings.agent_port))
+            case PullTable(host=host):
+                if not self._pulling:
+                    self._pulling = True
+                    self.run_beside(self._pull_table(host))
+            case _:
+                super().carry_out(effect)
+
+    def _take_packet(self, data: bytes, source: str) -> None:
+        packet = self.codec.decode_caller(data)
+        if packet is None:
+            self.note_malformed(source, data)
+            return
+        self.dispatch(CallerPacket(packet=packet, now=self.now))
+
+    # The forwarding table
+
+    async def _watch_table(self) -> None:
+        changes = watch_changes(
+            self.platform,
+            self._source.kind,
+            sleep=asyncio.sleep,
+            patience=WATCH_PATIENCE,
+            backoff=RETRY,
+        )
+        async for outcome in changes:
+            if isinstance(outcome, Unavailable):
+                self.note_platform(outcome)
+                continue
+            self.note_platform(None)
+            for item in outcome.objects:
+                if item.name == self._source.name:
+                    self._offer_table(item.value, "store")
+
+    def _offer_table(self, value: object, source: str) -> None:
+        try:
+            table = self._source.decode(value)
+        except DecodeError as error:
+            fields = {"source": source, "error": str(error)}
+            self.write_note(Note(event=LogEvent.TABLE_REJECTED, fields=fields))
+            return
+        if table.version > self.state.table.version:
+            self._stored_table = value
+        self.dispatch(TableOffered(table=table, source=source, now=self.now))
+
+    def _answer_peer(self, method: str, path: str, body: bytes) -> Response:
+        if path != TABLE_PATH or self._stored_table is None:
+            return Response(status=HTTP_NOT_FOUND, body=b"{}")
+        return Response(status=HTTP_OK, body=msgspec.json.encode(self._stored_table))
+
+    async def _pull_table(self, host: str) -> None:
+        client = HttpClient(Address(host, self.settings.messages.port))
+        try:
+            response = await client.request(
+                "GET", TABLE_PATH, None, timeout=PULL_TIMEOUT
+            )
+            if response.status == HTTP_OK:
+                self._offer_table(msgspec.json.decode(response.body), host)
+        except (TimeoutError, OSError, msgspec.DecodeError) as error:
+            fields = {"source": host, "error": repr(error)}
+            self.write_note(Note(event=LogEvent.TABLE_REJECTED, fields=fields))
+        finally:
+            self._pulling = False
+            client.close()
+
+    # Reports of nodes
+
+    async def _watch_reports(self) -> None:
+        changes = watch_changes(
+            self.platform,
+            REPORT_KIND,
+            sleep=asyncio.sleep,
+            patience=WATCH_PATIENCE,
+            pause=REPORT_PAUSE,
+            backoff=RETRY,
+        )
+        async for outcome in changes:
+            match outcome:
+                case Unavailable():
+                    self.note_platform(outcome)
+                case Listing(objects=objects):
+                    self.note_platform(None)
+                    self._take_reports(objects, (), whole=True)
+                case Changed(objects=objects, deleted=deleted):
+                    self.note_platform(None)
+                    self._take_reports(objects, deleted, whole=False)
+
+    def _take_reports(
+        self,
+        objects: tuple[StoredObject, ...],
+        deleted: tuple[str, ...],
+        *,
+        whole: bool,
+    ) -> None:
+        reports = [r for r in map(self._read_report, objects) if r is not None]
+        self.dispatch(
+            ReportsListed(
+                reports=tuple(reports), removed=deleted, whole=whole, now=self.now
+            )
+        )
+
+    def _read_report(self, item: StoredObject) -> NodeReport | None:
+        try:
+            return load_report(item.value)
+        except DecodeError as error:
+            fields = {"source": f"store: {item.name}", "error": str(error)}
+            self.write_note(Note(event=LogEvent.MESSAGE_REFUSED, fields=fields))
+            return None
+
+
+def make_balancer(
+    settings: NodeSettings,
+    *,
+    codec: PacketCodec,
+    platform: Platform,
+    source: TableSource,
+) -> BalancerNode:
+    """Return a balancer; call it inside the running loop."""
+    drawn = random.SystemRandom()
+    state = BalancerState(
+        report=NodeReport(
+            host=settings.host,
+            role=settings.role,
+            zone=settings.zone,
+            incarnation=drawn.getrandbits(48),
+        ),
+        seeds=settings.seeds,
+        flow_lifetime=settings.flow_lifetime,
+        stop_limit=settings.stop_limit,
+        generator=random.Random(drawn.getrandbits(48)),
+    )
+    return BalancerNode(
+        state, settings=settings, codec=codec, platform=platform, source=source
+    )
--- /dev/null
+++ b/shedsill/datagram/_runtime/http.py
@@ -0,0 +1,221 @@
+"""Small HTTP/1.1 client and server over httptools.
+
+aiohttp costs 0.3 s of CPU and 23 MB only to be imported, which is more than a
+whole node may take here to start; httptools brings just the parser.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+import httptools
+from attrs import define, field, frozen
+
+from shedsill._addresses import Address
+
+CONNECT_TIMEOUT = 1.0
+"""Seconds for a connection; a VM behind a cut does not answer at all."""
+
+MAX_BODY = 8 * 1024 * 1024
+"""Octets of one body that are read; lists hold about 1 MB."""
+
+USER_TIMEOUT = 2_000
+"""Milliseconds without an acknowledgement after which the kernel gives up."""
+
+
+@frozen(kw_only=True)
+class Response:
+    """An HTTP answer."""
+
+    status: int
+    body: bytes
+
+
+class _ClientProtocol(asyncio.Protocol):
+    """Parses answers of one connection, one at a time."""
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self.answer: asyncio.Future[Response] | None = None
+        self.closed = False
+        self._parser = httptools.HttpResponseParser(self)
+        self._body = bytearray()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._fail(ConnectionError(f"not HTTP: {error}"))
+
+    def on_message_begin(self) -> None:
+        self._body.clear()
+
+    def on_body(self, body: bytes) -> None:
+        self._body += body
+        if len(self._body) > MAX_BODY:
+            self._fail(ConnectionError("answer is too long"))
+
+    def on_message_complete(self) -> None:
+        if not self._parser.should_keep_alive():
+            self.closed = True
+        if self.answer is not None and not self.answer.done():
+            status = self._parser.get_status_code()
+            self.answer.set_result(Response(status=status, body=bytes(self._body)))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._fail(ConnectionError(f"connection closed: {exc or 'by the peer'}"))
+
+    def _fail(self, error: Exception) -> None:
+        self.closed = True
+        if self.answer is not None and not self.answer.done():
+            self.answer.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
+
+
+@define
+class HttpClient:
+    """Calls one server over connections that are kept open between calls.
+
+    A connection on which an answer stayed out is never used again.
+    """
+
+    address: Address
+    _idle: list[_ClientProtocol] = field(factory=list)
+
+    async def request(
+        self, method: str, target: str, body: bytes | None, *, timeout: float
+    ) -> Response:
+        """Carry out one call.
+
+        Raises
+        ------
+        TimeoutError, OSError
+            If there was no whole answer.
+        """
+        async with asyncio.timeout(timeout):
+            connection = await self._get_connection()
+            done = False
+            try:
+                response = await self._exchange(connection, method, target, body)
+                done = True
+            finally:
+                self._put_back(connection, usable=done)
+            return response
+
+    async def _get_connection(self) -> _ClientProtocol:
+        while self._idle:
+            connection = self._idle.pop()
+            if not connection.closed:
+                return connection
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(CONNECT_TIMEOUT):
+            _transport, connection = await loop.create_connection(
+                _ClientProtocol, *self.address.pair
+            )
+        return connection
+
+    async def _exchange(
+        self, connection: _ClientProtocol, method: str, target: str, body: bytes | None
+    ) -> Response:
+        connection.answer = asyncio.get_running_loop().create_future()
+        assert connection.transport is not None
+        connection.transport.write(_make_request(self.address, method, target, body))
+        return await connection.answer
+
+    def _put_back(self, connection: _ClientProtocol, *, usable: bool) -> None:
+        connection.answer = None
+        if usable and not connection.closed:
+            self._idle.append(connection)
+        elif connection.transport is not None:
+            connection.transport.abort()
+
+    def close(self) -> None:
+        """Close the connections that are not in use."""
+        for connection in self._idle:
+            if connection.transport is not None:
+                connection.transport.abort()
+        self._idle.clear()
+
+
+def _make_request(
+    address: Address, method: str, target: str, body: bytes | None
+) -> bytes:
+    lines = [f"{method} {target} HTTP/1.1", f"Host: {address}"]
+    if body is not None:
+        lines.append("Content-Type: application/json")
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode() + (body or b"")
+
+
+Handler = Callable[[str, str, bytes], Response]
+"""Takes method, path and body, and returns the answer at once."""
+
+
+class _ServerProtocol(asyncio.Protocol):
+    """Parses calls of one connection and answers each with the handler."""
+
+    def __init__(self, handler: Handler) -> None:
+        self._handler = handler
+        self._parser = httptools.HttpRequestParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._path = b""
+        self._body = bytearray()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self._abort()
+
+    def on_message_begin(self) -> None:
+        self._path = b""
+        self._body.clear()
+
+    def on_url(self, url: bytes) -> None:
+        self._path += url
+
+    def on_body(self, body: bytes) -> None:
+        self._body += body
+        if len(self._body) > MAX_BODY:
+            self._abort()
+
+    def on_message_complete(self) -> None:
+        method = self._parser.get_method().decode()
+        path = self._path.decode("latin-1")
+        response = self._handler(method, path, bytes(self._body))
+        head = (
+            f"HTTP/1.1 {response.status} -\r\n"
+            "Content-Type: application/json\r\n"
+            f"Content-Length: {len(response.body)}\r\n\r\n"
+        )
+        if self._transport is None:
+            return
+        self._transport.write(head.encode() + response.body)
+        if not self._parser.should_keep_alive():
+            self._transport.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = None
+
+    def _abort(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
+
+async def serve_http(address: Address, handler: Handler) -> asyncio.Server:
+    """Listen for calls; close the server that is returned to stop."""
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(lambda: _ServerProtocol(handler), *address.pair)
--- /dev/null
+++ b/shedsill/datagram/_runtime/metrics.py
@@ -0,0 +1,68 @@
+"""Counters and histograms in the text form that Prometheus reads.
+
+prometheus_client costs 0.1 s of CPU and 12 MB to be imported; the text form of
+counters and histograms is a few lines.
+"""
+
+from __future__ import annotations
+
+import bisect
+from collections.abc import Mapping
+
+from attrs import define, field
+
+from shedsill._catalogue import LogEvent
+
+LATENCY_BOUNDS = (0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0)
+"""Upper bounds in seconds; three to a decade, up to the callers' deadlines."""
+
+
+@define
+class Histogram:
+    """Counts of durations by upper bound.
+
+    Examples
+    --------
+    >>> histogram = Histogram("wait_seconds", "Waiting time")
+    >>> histogram.observe(0.002)
+    >>> histogram.format()[3]
+    'wait_seconds_bucket{le="0.003"} 1'
+    """
+
+    name: str
+    text: str
+    _counts: list[int] = field(factory=lambda: [0] * (len(LATENCY_BOUNDS) + 1))
+    _sum: float = 0.0
+
+    def observe(self, seconds: float) -> None:
+        """Count one duration."""
+        self._counts[bisect.bisect_left(LATENCY_BOUNDS, seconds)] += 1
+        self._sum += seconds
+
+    def format(self) -> list[str]:
+        """Return the lines of the text form."""
+        lines = [f"# HELP {self.name} {self.text}", f"# TYPE {self.name} histogram"]
+        total = 0
+        bounds = [*map(str, LATENCY_BOUNDS), "+Inf"]
+        for bound, count in zip(bounds, self._counts, strict=True):
+            total += count
+            lines.append(f'{self.name}_bucket{{le="{bound}"}} {total}')
+        lines.append(f"{self.name}_sum {self._sum:.6f}")
+        lines.append(f"{self.name}_count {total}")
+        return lines
+
+
+def format_counters(
+    name: str, text: str, label: str, counts: Mapping[str, int]
+) -> list[str]:
+    """Return the lines of one counter with a label."""
+    lines = [f"# HELP {name} {text}", f"# TYPE {name} counter"]
+    lines += [f'{name}{{{label}="{key}"}} {counts[key]}' for key in sorted(counts)]
+    return lines
+
+
+def format_events(counts: Mapping[LogEvent, int]) -> list[str]:
+    """Return the counter of log events, by their numbers."""
+    numbers = {str(event.value.number): count for event, count in counts.items()}
+    text = "Events by number; see the catalogue"
+    return format_counters("shedsill_events_total", text, "event", numbers)
--- /dev/null
+++ b/shedsill/datagram/_runtime/node.py
@@ -0,0 +1,319 @@
+"""The loop of one node: sockets and timers in, effects out."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import signal
+import socket
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+from shedsill._addresses import Address
+from shedsill._catalogue import LogEvent
+from shedsill._shared_effects import Exit, Note
+from shedsill.coordination.platform import Platform, Unavailable
+from shedsill.datagram._agent import AgentState
+from shedsill.datagram._balancer import BalancerState
+from shedsill.datagram._effects import (
+    CheckUpstream,
+    Effect,
+    ForwardPacket,
+    ObserveLatency,
+    PullTable,
+    RemoveReport,
+    ResetFlow,
+    SendMessage,
+    SendToCaller,
+    SendToUpstream,
+    StoreReport,
+)
+from shedsill.datagram._events import (
+    Event,
+    MessageReceived,
+    PacketsDrained,
+    StopRequested,
+    Tick,
+)
+from shedsill.datagram._messages import PacketReturned, decode_message, encode_message
+from shedsill.datagram._reducer import reduce
+from shedsill.datagram._runtime.http import Handler, Response, serve_http
+from shedsill.datagram._runtime.log import JsonLog
+from shedsill.datagram._runtime.metrics import Histogram, format_events
+from shedsill.datagram._runtime.reports import ReportWriter
+from shedsill.datagram.adapter import NodeSettings, PacketCodec
+from shedsill.errors import DecodeError, InvariantError
+
+TICK_INTERVAL = 0.04
+"""Seconds between ticks: half of the shortest limit that ticks watch over."""
+
+DATAGRAMS_PER_TURN = 128
+"""Datagrams read from one socket before others get their turn."""
+
+DATAGRAM_SIZE = 65_535
+
+SOCKET_BUFFER = 4 * 1024 * 1024
+"""Octets of datagrams that may wait while the VM is out of processor quota."""
+
+READINESS_PATH = "/-/ready"
+METRICS_PATH = "/metrics"
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+HTTP_UNAVAILABLE = 503
+
+
+class Node:
+    """Base of the balancer's and the agent's loops.
+
+    Attributes
+    ----------
+    state : BalancerState or AgentState
+        Belongs to the reducer.
+    failure : Exception or None
+        What broke an invariant.
+    """
+
+    def __init__(
+        self,
+        state: BalancerState | AgentState,
+        *,
+        settings: NodeSettings,
+        codec: PacketCodec,
+        platform: Platform,
+    ) -> None:
+        self.state = state
+        self.settings = settings
+        self.codec = codec
+        self.platform = platform
+        self.failure: Exception | None = None
+        self.log = JsonLog(node=settings.name, describe=codec.describe_flow)
+        self.latency = Histogram(
+            "shedsill_latency_seconds",
+            "Balancer: offer to answer of an opening; agent: request to answer",
+        )
+        self._reports = ReportWriter(platform=platform, write_note=self.write_note)
+        self._loop = asyncio.get_running_loop()
+        self._exited = asyncio.Event()
+        self._servers: list[asyncio.Server] = []
+        self._sockets: list[socket.socket] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._platform_failed = False
+        self._messages = self.open_datagrams(settings.messages, self._take_message)
+
+    @property
+    def now(self) -> float:
+        """Seconds on the monotonic clock."""
+        return self._loop.time()
+
+    # Life
+
+    async def run(self) -> None:
+        """Serve until a planned stop is complete or an invariant is broken."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self._loop.add_signal_handler(number, self._request_stop)
+        await self.serve(self.settings.status, self.answer_status)
+        if self.settings.metrics is not None:
+            await self.serve(self.settings.metrics, self._answer_metrics)
+        fields = {
+            "role": self.settings.role.value,
+            "host": self.settings.host,
+            "zone": self.settings.zone,
+            "service": self.settings.service,
+            "incarnation": self.state.report.incarnation,
+            "first_start": self.settings.first_start,
+        }
+        self.write_note(Note(event=LogEvent.NODE_STARTED, fields=fields))
+        self.begin()
+        self._tick()
+        await self._exited.wait()
+        await self._reports.finish()
+        self._close()
+
+    def begin(self) -> None:
+        """Do what a role does first; subclasses add to it."""
+        raise NotImplementedError
+
+    def _request_stop(self) -> None:
+        self.dispatch(StopRequested(now=self.now))
+
+    def _close(self) -> None:
+        for task in list(self._tasks):
+            task.cancel()
+        for server in self._servers:
+            server.close()
+        for sock in self._sockets:
+            self._loop.remove_reader(sock)
+            sock.close()
+        self.log.flush(self.now)
+
+    def _tick(self) -> None:
+        self.dispatch(Tick(now=self.now))
+        self.log.flush(self.now)
+        if not self._exited.is_set():
+            self._loop.call_later(TICK_INTERVAL, self._tick)
+
+    # Input
+
+    def open_datagrams(
+        self, address: Address, take: Callable[[bytes, str], None]
+    ) -> socket.socket:
+        """Open a UDP socket whose datagrams go to `take` with their source."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.setblocking(False)
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            sock.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER)
+        sock.bind(address.pair)
+        self._loop.add_reader(sock, self._drain, sock, take)
+        self._sockets.append(sock)
+        return sock
+
+    def _drain(self, sock: socket.socket, take: Callable[[bytes, str], None]) -> None:
+        for _ in range(DATAGRAMS_PER_TURN):
+            try:
+                data, source = sock.recvfrom(DATAGRAM_SIZE)
+            except BlockingIOError:
+                break
+            except OSError as error:
+                # ICMP's word on an earlier datagram; silence is noticed elsewhere.
+                if error.errno != errno.ECONNREFUSED:
+                    self._note_send_failure(sock, error)
+                continue
+            take(data, source[0])
+        self.dispatch(PacketsDrained(now=self.now))
+
+    def _take_message(self, data: bytes, source: str) -> None:
+        try:
+            message = decode_message(data)
+        except DecodeError as error:
+            fields = {"source": source, "error": str(error)}
+            self.write_note(Note(event=LogEvent.MESSAGE_REFUSED, fields=fields))
+            return
+        returned = None
+        if isinstance(message, PacketReturned):
+            returned = self.codec.decode_caller(message.packet)
+            if returned is None:
+                self.note_malformed(source, message.packet)
+                return
+        event = MessageReceived(message=message, source=source, now=self.now)
+        self._reduce(event, returned)
+
+    def note_malformed(self, source: str, data: bytes) -> None:
+        """Note a datagram that is not a packet."""
+        fields = {"source": source, "octets": len(data)}
+        self.write_note(Note(event=LogEvent.PACKET_MALFORMED, fields=fields))
+
+    async def serve(self, address: Address, handler: Handler) -> None:
+        """Answer HTTP calls at an address."""
+        self._servers.append(await serve_http(address, handler))
+
+    def answer_status(self, method: str, path: str, body: bytes) -> Response:
+        """Answer whether this node should be sent packets."""
+        if path.partition("?")[0] != READINESS_PATH:
+            return Response(status=HTTP_NOT_FOUND, body=b"{}")
+        status = HTTP_OK if self.ready else HTTP_UNAVAILABLE
+        return Response(status=status, body=b"{}")
+
+    @property
+    def ready(self) -> bool:
+        """Whether this node should be sent packets."""
+        raise NotImplementedError
+
+    def _answer_metrics(self, method: str, path: str, body: bytes) -> Response:
+        if path.partition("?")[0] != METRICS_PATH:
+            return Response(status=HTTP_NOT_FOUND, body=b"")
+        lines = [*format_events(self.log.counts), *self.latency.format()]
+        lines += self.list_gauges()
+        return Response(status=HTTP_OK, body="\n".join([*lines, ""]).encode())
+
+    def list_gauges(self) -> list[str]:
+        """Return the lines of figures that go up and down."""
+        raise NotImplementedError
+
+    # Output
+
+    def dispatch(self, event: Event) -> None:
+        """Reduce an event and carry out what follows from it."""
+        self._reduce(event, None)
+
+    def _reduce(self, event: Event, returned: Any) -> None:
+        try:
+            for effect in reduce(self.state, event, returned):
+                self.carry_out(effect)
+        except Exception as error:
+            self._fail(error)
+            raise
+
+    def _fail(self, error: Exception) -> None:
+        """Stop the process: whatever escapes the reducer breaks an invariant."""
+        self.failure = error
+        fields = {"error": f"{type(error).__name__}: {error}"}
+        self.write_note(Note(event=LogEvent.INVARIANT_BROKEN, fields=fields))
+        self._exited.set()
+
+    def carry_out(self, effect: Effect) -> None:
+        """Carry out an effect that every role has."""
+        match effect:
+            case Note():
+                self.write_note(effect)
+            case SendMessage(host=host, message=message):
+                target = (host, self.settings.messages.port)
+                self.send(self._messages, encode_message(message), target)
+            case ResetFlow(flow=flow, seq=seq):
+                self.send_to_caller(flow, self.codec.encode_reset(flow, seq))
+            case ObserveLatency(seconds=seconds):
+                self.latency.observe(seconds)
+            case StoreReport(report=report):
+                self._reports.store(report, self.run_beside)
+            case RemoveReport(report=report):
+                self._reports.remove(report, self.run_beside)
+            case Exit():
+                self._exited.set()
+            case ForwardPacket() | SendToUpstream() | SendToCaller():
+                raise InvariantError(f"wrong role for {type(effect).__name__}")
+            case CheckUpstream() | PullTable():
+                raise InvariantError(f"wrong role for {type(effect).__name__}")
+
+    def send_to_caller(self, flow: bytes, data: bytes) -> None:
+        """Send a packet to the caller of a flow."""
+        target = (self.codec.get_caller(flow), self.settings.caller_port)
+        self.send(self._messages, data, target)
+
+    def send(self, sock: socket.socket, data: bytes, target: tuple[str, int]) -> None:
+        """Send a datagram; one that cannot be sent is lost, as any may be."""
+        try:
+            sock.sendto(data, target)
+        except OSError as error:
+            self._note_send_failure(sock, error)
+
+    def _note_send_failure(self, sock: socket.socket, error: OSError) -> None:
+        fields = {"socket": str(sock.getsockname()), "error": str(error)}
+        self.write_note(Note(event=LogEvent.SEND_FAILED, fields=fields))
+
+    def write_note(self, note: Note) -> None:
+        """Count a note and queue its log line."""
+        self.log.write(note, self.now)
+
+    def run_beside(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Run a coroutine beside the loop; it ends with the node."""
+        task = self._loop.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._end_task)
+
+    def _end_task(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        fields = {"error": repr(task.exception())}
+        self.write_note(Note(event=LogEvent.TASK_FAILED, fields=fields))
+
+    def note_platform(self, failure: Unavailable | None) -> None:
+        """Note that the platform's store was lost or is back."""
+        if failure is not None and not self._platform_failed:
+            fields = {"reason": failure.reason}
+            self.write_note(Note(event=LogEvent.PLATFORM_FAILED, fields=fields))
+        if failure is None and self._platform_failed:
+            self.write_note(Note(event=LogEvent.PLATFORM_BACK))
+        self._platform_failed = failure is not None
+
+
+Sleep = Callable[[float], Awaitable[None]]
--- /dev/null
+++ b/shedsill/datagram/_runtime/reports.py
@@ -0,0 +1,145 @@
+"""Keeps this node's report in the platform's store."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from attrs import define
+
+from shedsill._catalogue import LogEvent
+from shedsill._shared_effects import Note
+from shedsill.coordination.backoff import Backoff, get_delay
+from shedsill.coordination.platform import (
+    Conflict,
+    Delete,
+    Outcome,
+    Platform,
+    Put,
+    Stored,
+    Unavailable,
+)
+from shedsill.datagram._messages import NodeReport, dump_report
+
+REPORT_KIND = "shedsill-nodes"
+"""Kind of the objects in the platform's store, one a node, named by its host."""
+
+RETRY = Backoff(first=0.1, longest=1.0)
+"""Delays between tries: a report has to be back 2 s after an outage."""
+
+FINISH_LIMIT = 0.5
+"""Seconds that a planned stop waits for the last write."""
+
+
+@define
+class ReportWriter:
+    """Writes the latest report that was asked for, until the store has it.
+
+    Attributes
+    ----------
+    version : int
+        Of the stored object, as far as known; 0 where it is not.
+    wanted : NodeReport or None
+        What the store should hold.
+    removing : bool
+        Whether `wanted` is to be removed rather than stored.
+    """
+
+    platform: Platform
+    write_note: Callable[[Note], None]
+    version: int = 0
+    wanted: NodeReport | None = None
+    removing: bool = False
+    _running: asyncio.Event | None = None
+    _idle: bool = True
+
+    def store(
+        self,
+        report: NodeReport,
+        run_beside: Callable[[Coroutine[Any, Any, None]], None],
+    ) -> None:
+        """Have the store hold a report."""
+        self._want(report, run_beside, removing=False)
+
+    def remove(
+        self,
+        report: NodeReport,
+        run_beside: Callable[[Coroutine[Any, Any, None]], None],
+    ) -> None:
+        """Have the store hold no report of this node."""
+        self._want(report, run_beside, removing=True)
+
+    def _want(
+        self,
+        report: NodeReport,
+        run_beside: Callable[[Coroutine[Any, Any, None]], None],
+        *,
+        removing: bool,
+    ) -> None:
+        self.wanted = report
+        self.removing = removing
+        if self._idle:
+            self._idle = False
+            self._running = asyncio.Event()
+            run_beside(self._write())
+
+    async def finish(self) -> None:
+        """Wait a moment for the last write."""
+        if self._idle or self._running is None:
+            return
+        try:
+            async with asyncio.timeout(FINISH_LIMIT):
+                await self._running.wait()
+        except TimeoutError:
+            fields = {"reason": "the last report was not stored in time"}
+            self.write_note(Note(event=LogEvent.PLATFORM_FAILED, fields=fields))
+
+    async def _write(self) -> None:
+        failures = 0
+        while self.wanted is not None:
+            report, removing = self.wanted, self.removing
+            outcome = await self.platform.call(self._make_call(report, removing))
+            match outcome:
+                case Stored(version=version):
+                    self.version = 0 if removing else version
+                    failures = 0
+                    self._settle(report)
+                case Conflict(current=current):
+                    self.version = current.version if current else 0
+                    failures += 1
+                    if self._is_done(outcome, report, removing):
+                        self._settle(report)
+                    elif failures > 1:
+                        await asyncio.sleep(get_delay(RETRY, failures - 1))
+                case Unavailable(reason=reason):
+                    failures += 1
+                    if failures == 1:
+                        fields = {"reason": reason, "call": "report"}
+                        note = Note(event=LogEvent.PLATFORM_FAILED, fields=fields)
+                        self.write_note(note)
+                    await asyncio.sleep(get_delay(RETRY, failures))
+        self._idle = True
+        if self._running is not None:
+            self._running.set()
+
+    def _make_call(self, report: NodeReport, removing: bool) -> Put | Delete:
+        if removing:
+            return Delete(kind=REPORT_KIND, name=report.host, expected=self.version)
+        return Put(
+            kind=REPORT_KIND,
+            name=report.host,
+            value=dump_report(report),
+            expected=self.version,
+        )
+
+    def _is_done(self, outcome: Outcome, report: NodeReport, removing: bool) -> bool:
+        """Whether an earlier try, whose answer was lost, has taken effect."""
+        assert isinstance(outcome, Conflict)
+        if outcome.current is None:
+            return removing
+        return not removing and outcome.current.value == dump_report(report)
+
+    def _settle(self, report: NodeReport) -> None:
+        if self.wanted is report:
+            self.wanted = None
--- /dev/null
+++ b/shedsill/datagram/_searches.py
@@ -0,0 +1,80 @@
+"""Flows whose upstream a balancer does not know and asks the agents for."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterable
+
+from attrs import define, field
+
+from shedsill.datagram._packet import Packet
+
+SEARCH_TIMEOUT = 0.15
+"""Seconds after which unanswered agents are asked again, if packets still wait;
+some round trips between availability zones, below the 200 ms after which
+callers send again."""
+
+FORGET_AFTER = 3.0
+"""Seconds after which a search without new packets is dropped."""
+
+MAX_HELD_PACKETS = 16
+"""Packets held for one flow: as many as one end may have under way."""
+
+MAX_SEARCHES = 8192
+"""Searches at once; above this, packets of unknown flows are dropped."""
+
+
+class Phase(enum.Enum):
+    """What a search is waiting for."""
+
+    ASKING = "asking"
+    TRYING = "trying"
+
+
+@define
+class Search:
+    """One flow that is being looked for.
+
+    Attributes
+    ----------
+    packets : list of Packet
+        Held until the upstream is known.
+    waiting : set of str
+        Hosts of the agents that have not answered.
+    unsure : set of str
+        Hosts of agents that could not tell.
+    asked : float
+        When agents were last asked.
+    seen : float
+        When the last packet of the flow came.
+    """
+
+    packets: list[Packet]
+    waiting: set[str]
+    asked: float
+    seen: float
+    phase: Phase = Phase.ASKING
+    unsure: set[str] = field(factory=set)
+
+
+def begin_search(packet: Packet, hosts: Iterable[str], now: float) -> Search:
+    """Return a search that starts now."""
+    return Search(packets=[packet], waiting=set(hosts), asked=now, seen=now)
+
+
+def hold_packet(search: Search, packet: Packet, now: float) -> None:
+    """Hold another packet of the flow; the oldest one goes when there are many."""
+    search.seen = now
+    search.packets.append(packet)
+    if len(search.packets) > MAX_HELD_PACKETS:
+        del search.packets[0]
+
+
+def is_due(search: Search, now: float) -> bool:
+    """Whether the agents that have not answered are to be asked again."""
+    return bool(search.packets) and now - search.asked >= SEARCH_TIMEOUT
+
+
+def is_over(search: Search, now: float) -> bool:
+    """Whether the caller has stopped sending, so that nobody waits."""
+    return now - search.seen >= FORGET_AFTER
--- /dev/null
+++ b/shedsill/datagram/_selection.py
@@ -0,0 +1,118 @@
+"""Which upstream is offered a new flow."""
+
+from __future__ import annotations
+
+import random
+import zlib
+from collections.abc import Collection, Iterable
+
+from attrs import define
+
+from shedsill.datagram._messages import NodeReport, UpstreamState
+
+ZONE_PENALTY = 0.75
+"""Fullness (busy requests per slot) that an upstream of the balancer's own
+availability zone may have above a remote one before the remote one is taken;
+below 1, so that a free remote slot comes before a queue."""
+
+BULK_ZONE_PENALTY = 4.0
+"""The same for routes with large bodies, whose octets cost more than a wait."""
+
+COLD_FACTOR = 1.6
+"""How much slower an upstream works just after its start (users' figures)."""
+
+DEFAULT_SLOTS = 2
+"""Slots assumed of an upstream whose first heartbeat has not come yet; the
+fewest of any deployment described."""
+
+TAKING = (UpstreamState.READY, UpstreamState.UNKNOWN)
+
+
+@define
+class UpstreamView:
+    """What a balancer knows of one agent and its upstream.
+
+    Attributes
+    ----------
+    heard : float
+        When the agent's last message came.
+    offered : int
+        Flows offered since the last load came.
+    silent_since : float or None
+        When the first of the questions was sent that it has not answered.
+    asked : float
+        When it was last asked.
+    questions : int
+        Questions sent since `silent_since`.
+    suspect : bool
+        Whether it left an offered flow or a probe unanswered.
+    lost : bool
+        Whether it has been silent for so long that its flows were given up.
+    """
+
+    report: NodeReport
+    heard: float = 0.0
+    offered: int = 0
+    silent_since: float | None = None
+    asked: float = 0.0
+    questions: int = 0
+    suspect: bool = False
+    lost: bool = False
+
+
+def number_service(service: str) -> int:
+    """Return the 32-bit number that packets between nodes carry of a service."""
+    return zlib.crc32(service.encode())
+
+
+def can_take(view: UpstreamView) -> bool:
+    """Whether an upstream may be offered new flows."""
+    report = view.report
+    return report.state in TAKING and not report.stopping and not view.lost
+
+
+def measure_fullness(view: UpstreamView) -> float:
+    """Return the requests per slot that a new flow would meet.
+
+    The load just reported and its average over a second count alike: the first
+    is about to change, and the second does not know the latest change.
+    """
+    load = view.report.load
+    busy = (load.busy + load.average) / 2 + view.offered
+    slots = load.slots or DEFAULT_SLOTS
+    factor = COLD_FACTOR if load.cold > 0 else 1.0
+    return busy * factor / slots
+
+
+def choose_upstream(
+    views: Iterable[UpstreamView],
+    *,
+    zone: str,
+    bulk: bool,
+    without: Collection[str],
+    generator: random.Random,
+) -> UpstreamView | None:
+    """Return the upstream for a new flow, or None if there is none.
+
+    Parameters
+    ----------
+    views : iterable of UpstreamView
+        Upstreams of the service.
+    zone : str
+        The balancer's availability zone, which is the caller's.
+    bulk : bool
+        Whether the route carries large bodies.
+    without : collection of str
+        Hosts that were offered the flow before.
+    """
+    penalty = BULK_ZONE_PENALTY if bulk else ZONE_PENALTY
+    best: UpstreamView | None = None
+    best_score = (True, 0.0, 0.0)
+    for view in views:
+        if not can_take(view) or view.report.host in without:
+            continue
+        distance = 0.0 if view.report.zone == zone else penalty
+        score = (view.suspect, measure_fullness(view) + distance, generator.random())
+        if best is None or score < best_score:
+            best, best_score = view, score
+    return best
--- /dev/null
+++ b/shedsill/platform/heartbeats.py
@@ -0,0 +1,67 @@
+"""The calls by which upstreams tell their state."""
+
+from __future__ import annotations
+
+import msgspec
+from attrs import frozen
+
+from shedsill.datagram._events import Heartbeat, UpstreamLeft
+from shedsill.datagram._messages import UpstreamState
+from shedsill.errors import DecodeError
+
+__all__ = ["InstanceCalls"]
+
+INSTANCES = "/-/instances/"
+
+
+@frozen(kw_only=True)
+class _Beat:
+    """Body of a heartbeat.
+
+    Attributes
+    ----------
+    cold_left_ms : int
+        How much longer the upstream works slowly after its start.
+    seq : int
+        Grows with each call of one run.
+    """
+
+    seq: int
+    state: UpstreamState
+    slots: int
+    cold_left_ms: int = 0
+
+
+_DECODER = msgspec.json.Decoder(_Beat)
+
+
+class InstanceCalls:
+    """Implements `shedsill.datagram.adapter.HeartbeatCodec`."""
+
+    def decode_call(
+        self, method: str, path: str, body: bytes, now: float
+    ) -> Heartbeat | UpstreamLeft | None:
+        """Read one call; None if it is not about an instance."""
+        boot = path.partition("?")[0].removeprefix(INSTANCES)
+        if boot == path or not boot:
+            return None
+        match method:
+            case "PUT":
+                return _read_beat(boot, body)
+            case "DELETE":
+                return UpstreamLeft(boot=boot, now=now)
+        return None
+
+
+def _read_beat(boot: str, body: bytes) -> Heartbeat:
+    try:
+        beat = _DECODER.decode(body)
+    except msgspec.MsgspecError as error:
+        raise DecodeError(f"not a heartbeat: {error}") from error
+    return Heartbeat(
+        boot=boot,
+        serial=beat.seq,
+        state=beat.state,
+        slots=beat.slots,
+        cold=beat.cold_left_ms / 1000,
+    )
--- /dev/null
+++ b/shedsill/platform/manifest.py
@@ -0,0 +1,99 @@
+"""The operator's configuration as the platform keeps it."""
+
+from __future__ import annotations
+
+import socket
+import struct
+
+import msgspec
+from attrs import field, frozen
+
+from shedsill.datagram._forwarding import ForwardingTable, Route, ServiceShare
+from shedsill.datagram.adapter import TableSource
+from shedsill.errors import DecodeError
+
+__all__ = ["TABLE_SOURCE", "decode_table"]
+
+
+@frozen(kw_only=True)
+class _Backend:
+    service: str
+    weight: int
+
+
+@frozen(kw_only=True)
+class _Route:
+    """One route.
+
+    Attributes
+    ----------
+    host : str
+        Not a name: the service's IP number.
+    path_prefix : str
+        Not a path: the service's port between slashes.
+    type : str
+        ``safe`` (may be repeated), ``unsafe`` or ``upload`` (large bodies).
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    type: str = "safe"
+    service: str = ""
+    backends: tuple[_Backend, ...] = ()
+
+
+@frozen(kw_only=True)
+class _Service:
+    name: str
+    health_path: str = "/health"
+
+
+@frozen(kw_only=True)
+class _Limits:
+    idle_timeout_ms: int = 60_000
+
+
+@frozen(kw_only=True)
+class _Manifest:
+    version: int
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...] = ()
+    limits: _Limits = field(factory=_Limits)
+
+
+def decode_table(value: object) -> ForwardingTable:
+    """Read the stored configuration.
+
+    Raises
+    ------
+    DecodeError
+        If it does not have the form that the platform documents.
+    """
+    try:
+        manifest = msgspec.convert(value, _Manifest)
+        return ForwardingTable(
+            version=manifest.version,
+            routes={_read_endpoint(r): _read_route(r) for r in manifest.routes},
+            idle_timeout=manifest.limits.idle_timeout_ms / 1000,
+            health_paths={s.name: s.health_path for s in manifest.services},
+        )
+    except (msgspec.ValidationError, OSError, ValueError, struct.error) as error:
+        raise DecodeError(f"not a configuration: {error}") from error
+
+
+def _read_endpoint(route: _Route) -> bytes:
+    port = int(route.path_prefix.strip("/"))
+    return socket.inet_aton(route.host) + struct.pack(">H", port)
+
+
+def _read_route(route: _Route) -> Route:
+    shares = tuple(
+        ServiceShare(service=b.service, weight=b.weight) for b in route.backends
+    )
+    if not shares:
+        shares = (ServiceShare(service=route.service),)
+    return Route(name=route.name, shares=shares, bulk=route.type == "upload")
+
+
+TABLE_SOURCE = TableSource(kind="config", name="main", decode=decode_table)
--- /dev/null
+++ b/shedsill/platform/packets.py
@@ -0,0 +1,119 @@
+"""The platform's packet head.
+
+36 octets, big-endian: flags (0, 1 octet), pad (1, 5), length (6, 2), source
+port (8, 2), destination (10, 4), destination port (14, 2), source (16, 4), echo
+(20, 4), sequence number (24, 4), acknowledgement (28, 4), sum (32, 4).
+
+The sum does not cover pad and echo, so balancers put the number of the service
+into pad, and agents put the balancer's IP number into echo, which comes back
+with a bounced packet.
+"""
+
+from __future__ import annotations
+
+import socket
+import struct
+
+from shedsill.datagram._packet import ACK, BOUNCED, FIN, RST, SYN, Packet
+
+__all__ = ["HeadCodec"]
+
+HEAD_LENGTH = 36
+NUMBERS = struct.Struct(">HHIHIIII")
+"""Length, source port, destination, destination port, source, echo, sequence
+number and acknowledgement, from octet 6 on."""
+SERVICE = struct.Struct(">I")
+NO_PAD = bytes(5)
+NO_ECHO = bytes(4)
+
+BOUNCED_BIT = 2
+_FLAG_BITS = {4: SYN, 128: ACK, 16: FIN, 32: RST, BOUNCED_BIT: BOUNCED}
+_FLAGS = [
+    sum(flag for bit, flag in _FLAG_BITS.items() if octet & bit) for octet in range(256)
+]
+RESET_OCTET = 32
+
+
+class HeadCodec:
+    """Implements `shedsill.datagram.adapter.PacketCodec`.
+
+    A flow's key is the head's octets 8 to 20 as the caller writes them: its
+    port, the service's address and port, and its address.
+    """
+
+    def decode_caller(self, data: bytes) -> Packet | None:
+        """Read a packet from a caller; None if it is too short."""
+        if len(data) < HEAD_LENGTH:
+            return None
+        flags = _FLAGS[data[0]]
+        length, seq, ack = _read_numbers(data)
+        # In a caller's opening packet, the acknowledgement counts its copies.
+        copy = ack if flags == SYN else 0
+        return Packet(data[8:20], data[10:16], flags, copy, seq, ack, length, data)
+
+    def decode_forwarded(self, data: bytes) -> tuple[Packet, int] | None:
+        """Read a packet from a balancer, and the number of its service."""
+        packet = self.decode_caller(data)
+        if packet is None:
+            return None
+        return packet, SERVICE.unpack_from(data, 2)[0]
+
+    def decode_upstream(self, data: bytes) -> Packet | None:
+        """Read a packet from an upstream, or one that it bounced."""
+        if len(data) < HEAD_LENGTH:
+            return None
+        if data[0] & BOUNCED_BIT:
+            return self._decode_bounced(data)
+        length, seq, ack = _read_numbers(data)
+        flow = data[14:16] + data[16:20] + data[8:10] + data[10:14]
+        return Packet(flow, flow[2:8], _FLAGS[data[0]], 0, seq, ack, length, data)
+
+    def _decode_bounced(self, data: bytes) -> Packet | None:
+        """Read a bounced packet; it is the caller's again without the mark."""
+        restored = bytes([data[0] & ~BOUNCED_BIT]) + data[1:]
+        packet = self.decode_caller(restored)
+        assert packet is not None
+        packet.flags |= BOUNCED
+        packet.balancer = socket.inet_ntoa(data[20:24])
+        return packet
+
+    def encode_forwarded(self, packet: Packet, service: int) -> bytes:
+        """Write a caller's packet for an agent."""
+        data = packet.data
+        mark = b"\0" + SERVICE.pack(service)
+        return data[:1] + mark + data[6:20] + NO_ECHO + data[24:]
+
+    def encode_for_upstream(self, packet: Packet, balancer: str) -> bytes:
+        """Write a caller's packet for the upstream."""
+        data = packet.data
+        echo = socket.inet_aton(balancer)
+        return data[:1] + NO_PAD + data[6:20] + echo + data[24:]
+
+    def encode_reset(self, flow: bytes, seq: int) -> bytes:
+        """Write a reset: no content, sum 0, from the service to the caller."""
+        ports_and_addresses = flow[6:8] + flow[8:12] + flow[0:2] + flow[2:6]
+        head = bytes([RESET_OCTET]) + NO_PAD + b"\0\0" + ports_and_addresses
+        return head + NO_ECHO + SERVICE.pack(seq) + bytes(8)
+
+    def get_caller(self, flow: bytes) -> str:
+        """Return the host of the flow's caller."""
+        return socket.inet_ntoa(flow[8:12])
+
+    def describe_flow(self, flow: bytes) -> str:
+        """Return the address pair as text.
+
+        Examples
+        --------
+        >>> flow = bytes.fromhex("9c41c612000101bb64400007")
+        >>> HeadCodec().describe_flow(flow)
+        '100.64.0.7:40001>198.18.0.1:443'
+        """
+        caller_port, service_port = struct.unpack(">H4xH", flow[:8])
+        caller = socket.inet_ntoa(flow[8:12])
+        service = socket.inet_ntoa(flow[2:6])
+        return f"{caller}:{caller_port}>{service}:{service_port}"
+
+
+def _read_numbers(data: bytes) -> tuple[int, int, int]:
+    numbers = NUMBERS.unpack_from(data, 6)
+    return numbers[0], numbers[6], numbers[7]
--- /dev/null
+++ b/shedsill/platform/settings.py
@@ -0,0 +1,159 @@
+"""The platform's settings file, as `deploy/settings.json.in` has it written."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+
+import msgspec
+from attrs import frozen
+
+from shedsill._addresses import Address, parse_address
+from shedsill.datagram._messages import Role
+from shedsill.datagram.adapter import NodeSettings
+from shedsill.errors import DocumentError, SettingError
+
+__all__ = ["PlatformSettings", "read_settings"]
+
+PATH_VARIABLE = "SHEDSILL_BOOT"
+METRICS_VARIABLE = "SHEDSILL_METRICS_PORT"
+STOP_MARGIN = 1.0
+"""Seconds before the platform's SIGKILL at which a planned stop is over."""
+
+
+@frozen(kw_only=True)
+class _Listen:
+    """Addresses on this VM.
+
+    Attributes
+    ----------
+    ready : str
+        Where readiness is asked for.
+    control : str
+        Where heartbeats of upstreams come in.
+    """
+
+    packet_addr: str
+    ready: str
+    outbound: str = ""
+    control: str = ""
+
+
+@frozen(kw_only=True)
+class _Bounds:
+    flow_ttl_s: float = 60
+    grace_s: float = 6
+
+
+@frozen(kw_only=True)
+class _Store:
+    addr: str
+
+
+@frozen(kw_only=True)
+class _File:
+    """The fields that this program uses.
+
+    Attributes
+    ----------
+    port_range : tuple of int
+        First and last port that is free for what nodes say to each other.
+    seeds : tuple of str
+        `control` addresses of up to three VMs, maybe stale.
+    bootstrap : bool
+        Whether the whole system starts for the first time.
+    app : str
+        Address of the upstream on this VM.
+    """
+
+    node: str
+    ip: str
+    zone: str
+    port_range: tuple[int, int]
+    listen: _Listen
+    platform: _Store
+    bounds: _Bounds = _Bounds()
+    seeds: tuple[str, ...] = ()
+    bootstrap: bool = False
+    app: str = ""
+    service: str = ""
+
+
+@frozen(kw_only=True)
+class PlatformSettings:
+    """Settings of a node, and where the platform's store is."""
+
+    node: NodeSettings
+    store: Address
+
+
+def read_settings(role: Role) -> PlatformSettings:
+    """Read and check the settings file.
+
+    Raises
+    ------
+    SettingError
+        If a setting is missing or not allowed.
+    """
+    path = os.environ.get(PATH_VARIABLE, "")
+    try:
+        text = pathlib.Path(path).read_bytes()
+    except OSError as error:
+        allowed = "the path of a file that can be read"
+        raise SettingError(PATH_VARIABLE, path, allowed) from error
+    return parse_settings(text, role)
+
+
+def parse_settings(text: bytes, role: Role) -> PlatformSettings:
+    """Read the text of the settings file; raises `SettingError`."""
+    try:
+        file = msgspec.json.decode(text, type=_File)
+        return PlatformSettings(
+            node=_make_node_settings(file, role),
+            store=parse_address(file.platform.addr, field="platform.addr"),
+        )
+    except msgspec.MsgspecError as error:
+        raise SettingError(PATH_VARIABLE, str(error), "the documented form") from error
+    except DocumentError as error:
+        raise SettingError(error.field, error.value, error.allowed) from error
+
+
+def _make_node_settings(file: _File, role: Role) -> NodeSettings:
+    packets = parse_address(file.listen.packet_addr, field="listen.packet_addr")
+    agent = role == Role.AGENT
+    seeds = [parse_address(seed, field="seeds").host for seed in file.seeds]
+    return NodeSettings(
+        name=file.node,
+        role=role,
+        host=file.ip,
+        zone=file.zone,
+        packets=packets,
+        messages=Address(file.ip, file.port_range[0]),
+        agent_port=packets.port,
+        caller_port=packets.port,
+        status=parse_address(file.listen.ready, field="listen.ready"),
+        service=_require("service", file.service) if agent else "",
+        heartbeats=_read_optional("listen.control", file.listen.control),
+        upstream=parse_address(file.app, field="app") if agent else None,
+        outbound=_read_optional("listen.outbound", file.listen.outbound),
+        metrics=_read_metrics(file.ip),
+        seeds=tuple(seeds),
+        first_start=file.bootstrap,
+        flow_lifetime=file.bounds.flow_ttl_s,
+        stop_limit=max(file.bounds.grace_s - STOP_MARGIN, 0.0),
+    )
+
+
+def _require(name: str, value: str) -> str:
+    if not value:
+        raise SettingError(name, value, "a name")
+    return value
+
+
+def _read_optional(name: str, text: str) -> Address | None:
+    return parse_address(text, field=name) if text else None
+
+
+def _read_metrics(host: str) -> Address | None:
+    port = os.environ.get(METRICS_VARIABLE, "")
+    return parse_address(f"{host}:{port}", field=METRICS_VARIABLE) if port else None
