--- a/shedsill/_addresses.py
+++ b/shedsill/_addresses.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import functools
-import ipaddress
+import socket
 
-from attrs import frozen
+from msgspec import Struct
 
 from shedsill.errors import DocumentError
 
@@ -13,8 +13,7 @@
 CACHED_ADDRESSES = 65_536
 
 
-@frozen(order=True)
-class Address:
+class Address(Struct, frozen=True, order=True):
     """An IP number and a port.
 
     Examples
@@ -58,9 +57,10 @@
     host = host.removeprefix("[").removesuffix("]")
     allowed = "an IP number, a colon and a port from 1 to 65535"
     try:
-        ipaddress.ip_address(host)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        socket.inet_pton(family, host)
         number = int(port)
-    except ValueError:
+    except (ValueError, OSError):
         raise DocumentError(field, text, allowed) from None
     if not 1 <= number <= MAX_PORT:
         raise DocumentError(field, text, allowed)
--- a/shedsill/_catalogue.py
+++ b/shedsill/_catalogue.py
@@ -8,7 +8,7 @@
 
 import enum
 
-from attrs import frozen
+from msgspec import Struct
 
 
 class Level(enum.Enum):
@@ -21,8 +21,7 @@
     ERROR = "ERROR"
 
 
-@frozen
-class Entry:
+class Entry(Struct, frozen=True):
     """One catalogue entry."""
 
     number: int
--- a/shedsill/_limits.py
+++ b/shedsill/_limits.py
@@ -2,19 +2,17 @@
 
 from __future__ import annotations
 
-from attrs import frozen
+from msgspec import Struct
 
 
-@frozen
-class Bucket:
+class Bucket(Struct, frozen=True):
     """Tokens left, and the local time at which they were counted."""
 
     tokens: float
     counted: float
 
 
-@frozen(kw_only=True)
-class Rate:
+class Rate(Struct, frozen=True, kw_only=True):
     """A steady rate per second and the burst that may go beyond it."""
 
     per_second: float
--- a/shedsill/_shared_effects.py
+++ b/shedsill/_shared_effects.py
@@ -4,13 +4,12 @@
 
 from typing import Any
 
-from attrs import field, frozen
+from msgspec import Struct, field
 
 from shedsill._catalogue import LogEvent
 
 
-@frozen(kw_only=True)
-class Note:
+class Note(Struct, frozen=True, kw_only=True):
     """Write a log line and count it.
 
     Attributes
@@ -21,9 +20,8 @@
     """
 
     event: LogEvent
-    fields: dict[str, Any] = field(factory=dict)
+    fields: dict[str, Any] = field(default_factory=dict)
 
 
-@frozen(kw_only=True)
-class Exit:
+class Exit(Struct, frozen=True, kw_only=True):
     """End the process: the planned stop is complete."""
--- a/shedsill/coordination/__init__.py
+++ b/shedsill/coordination/__init__.py
@@ -7,54 +7,71 @@
 
 from __future__ import annotations
 
-from shedsill._addresses import Address
-from shedsill.coordination.backoff import Backoff, get_delay
-from shedsill.coordination.lease import (
-    Lease,
-    is_held,
-    note_outcome,
-    plan_call,
-)
-from shedsill.coordination.membership import (
-    Member,
-    Membership,
-    NodeReport,
-    choose_peers,
-    choose_reports,
-    list_live,
-    merge_reports,
-)
-from shedsill.coordination.platform import (
-    Call,
-    Changed,
-    Conflict,
-    Delete,
-    Found,
-    Get,
-    HistoryGone,
-    List,
-    Listing,
-    ListMachines,
-    Machine,
-    Machines,
-    MemoryPlatform,
-    Outcome,
-    Platform,
-    Put,
-    Stored,
-    StoredObject,
-    Unavailable,
-    Watch,
-)
-from shedsill.coordination.spread import (
-    Pull,
-    Spread,
-    note_applied,
-    note_failure,
-    note_generation,
-)
-from shedsill.coordination.update import Unchanged, update_object
-from shedsill.coordination.watch import watch_changes, watch_kinds
+import importlib
+from typing import Any
+
+# Imported when first used (PEP 562): a node that needs only the calls of a store
+# does not pay for the others at its start.
+_MODULES = {
+    "shedsill._addresses": ("Address",),
+    "shedsill.coordination.backoff": (
+        "Backoff",
+        "get_delay",
+    ),
+    "shedsill.coordination.lease": (
+        "Lease",
+        "is_held",
+        "note_outcome",
+        "plan_call",
+    ),
+    "shedsill.coordination.membership": (
+        "Member",
+        "Membership",
+        "NodeReport",
+        "choose_peers",
+        "choose_reports",
+        "list_live",
+        "merge_reports",
+    ),
+    "shedsill.coordination.platform": (
+        "Call",
+        "Changed",
+        "Conflict",
+        "Delete",
+        "Found",
+        "Get",
+        "HistoryGone",
+        "List",
+        "ListMachines",
+        "Listing",
+        "Machine",
+        "Machines",
+        "MemoryPlatform",
+        "Outcome",
+        "Platform",
+        "Put",
+        "Stored",
+        "StoredObject",
+        "Unavailable",
+        "Watch",
+    ),
+    "shedsill.coordination.spread": (
+        "Pull",
+        "Spread",
+        "note_applied",
+        "note_failure",
+        "note_generation",
+    ),
+    "shedsill.coordination.update": (
+        "Unchanged",
+        "update_object",
+    ),
+    "shedsill.coordination.watch": (
+        "watch_changes",
+        "watch_kinds",
+    ),
+}
+_HOMES = {name: module for module, names in _MODULES.items() for name in names}
 
 __all__ = [
     "Address",
@@ -101,3 +118,14 @@
     "watch_changes",
     "watch_kinds",
 ]
+
+
+def __getattr__(name: str) -> Any:
+    """Import the module that has a public name."""
+    if name not in _HOMES:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(importlib.import_module(_HOMES[name]), name)
+
+
+def __dir__() -> list[str]:
+    return sorted(__all__)
--- a/shedsill/coordination/backoff.py
+++ b/shedsill/coordination/backoff.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
-import random
+import os
+from typing import TYPE_CHECKING
 
-from attrs import frozen
+from msgspec import Struct
 
+if TYPE_CHECKING:
+    import random
 
-@frozen(kw_only=True)
-class Backoff:
+
+class Backoff(Struct, frozen=True, kw_only=True):
     """Delays that double from `first` to `longest`, each jittered by half.
 
     Attributes
@@ -35,5 +38,10 @@
     """
     doublings = min(max(failures - 1, 0), 30)
     ceiling = min(backoff.first * 2**doublings, backoff.longest)
-    jitter = (generator or random).random()
+    jitter = generator.random() if generator else _draw()
     return ceiling * (0.5 + jitter / 2)
+
+
+def _draw() -> float:
+    """Return a number from 0 to 1, without the cost of importing `random`."""
+    return os.getrandom(1)[0] / 255
--- a/shedsill/coordination/platform.py
+++ b/shedsill/coordination/platform.py
@@ -8,11 +8,10 @@
 
 from typing import Any, Protocol
 
-from attrs import frozen
+from msgspec import Struct
 
 
-@frozen(kw_only=True)
-class StoredObject:
+class StoredObject(Struct, frozen=True, kw_only=True):
     """One object of the platform.
 
     Attributes
@@ -29,37 +28,32 @@
     value: dict[str, Any]
 
 
-@frozen(kw_only=True)
-class Stored:
+class Stored(Struct, frozen=True, kw_only=True):
     """A write took effect."""
 
     version: int
 
 
-@frozen(kw_only=True)
-class Conflict:
+class Conflict(Struct, frozen=True, kw_only=True):
     """A conditional write found another version; `current` is None if absent."""
 
     current: StoredObject | None
 
 
-@frozen(kw_only=True)
-class Found:
+class Found(Struct, frozen=True, kw_only=True):
     """An answered read; `object` is None where there is no such object."""
 
     object: StoredObject | None
 
 
-@frozen(kw_only=True)
-class Listing:
+class Listing(Struct, frozen=True, kw_only=True):
     """All objects of the kinds asked for, as of one revision."""
 
     objects: tuple[StoredObject, ...]
     revision: int
 
 
-@frozen(kw_only=True)
-class Changed:
+class Changed(Struct, frozen=True, kw_only=True):
     """What a watch saw; nothing when it timed out.
 
     Attributes
@@ -78,28 +72,24 @@
     deleted: tuple[str, ...] = ()
 
 
-@frozen(kw_only=True)
-class HistoryGone:
+class HistoryGone(Struct, frozen=True, kw_only=True):
     """The platform no longer has the changes since a watch's revision."""
 
 
-@frozen(kw_only=True)
-class Machine:
+class Machine(Struct, frozen=True, kw_only=True):
     """One VM of the platform's lagging list."""
 
     name: str
     leaving: bool
 
 
-@frozen(kw_only=True)
-class Machines:
+class Machines(Struct, frozen=True, kw_only=True):
     """The platform's list of VMs; lags and may be wrong for a while."""
 
     machines: tuple[Machine, ...]
 
 
-@frozen(kw_only=True)
-class Unavailable:
+class Unavailable(Struct, frozen=True, kw_only=True):
     """No usable answer.
 
     Attributes
@@ -114,23 +104,20 @@
     perhaps_applied: bool = False
 
 
-@frozen(kw_only=True)
-class Get:
+class Get(Struct, frozen=True, kw_only=True):
     """Read one object."""
 
     kind: str
     name: str
 
 
-@frozen(kw_only=True)
-class List:
+class List(Struct, frozen=True, kw_only=True):
     """Read all objects of some kinds."""
 
     kinds: tuple[str, ...]
 
 
-@frozen(kw_only=True)
-class Put:
+class Put(Struct, frozen=True, kw_only=True):
     """Write an object if its version is still `expected`; 0 means absent."""
 
     kind: str
@@ -139,8 +126,7 @@
     expected: int
 
 
-@frozen(kw_only=True)
-class Delete:
+class Delete(Struct, frozen=True, kw_only=True):
     """Delete an object if its version is still `expected`."""
 
     kind: str
@@ -148,8 +134,7 @@
     expected: int
 
 
-@frozen(kw_only=True)
-class Watch:
+class Watch(Struct, frozen=True, kw_only=True):
     """Wait until an object of some kinds has a version above `revision`.
 
     Attributes
@@ -163,8 +148,7 @@
     patience: float
 
 
-@frozen(kw_only=True)
-class ListMachines:
+class ListMachines(Struct, frozen=True, kw_only=True):
     """Read the list of live and leaving VMs."""
 
 
--- a/shedsill/datagram/_agent.py
+++ b/shedsill/datagram/_agent.py
@@ -10,7 +10,8 @@
 
 import enum
 
-from attrs import define, evolve, field
+from msgspec import Struct, field
+from msgspec.structs import replace
 
 from shedsill._catalogue import LogEvent
 from shedsill._shared_effects import Exit, Note
@@ -98,8 +99,7 @@
     OPEN = "open"
 
 
-@define(slots=True)
-class AgentFlow:
+class AgentFlow(Struct):
     """A flow that this upstream holds, or was offered.
 
     Attributes
@@ -127,8 +127,7 @@
     closed: bool = False
 
 
-@define
-class AgentState:
+class AgentState(Struct):
     """Everything that an agent knows.
 
     Attributes
@@ -154,10 +153,10 @@
     flow_lifetime: float
     stop_limit: float
     complete: bool = False
-    flows: dict[bytes, AgentFlow] = field(factory=dict)
-    tried: dict[bytes, str] = field(factory=dict)
-    balancers: dict[str, float] = field(factory=dict)
-    retired: set[str] = field(factory=set)
+    flows: dict[bytes, AgentFlow] = field(default_factory=dict)
+    tried: dict[bytes, str] = field(default_factory=dict)
+    balancers: dict[str, float] = field(default_factory=dict)
+    retired: set[str] = field(default_factory=set)
     heartbeat_serial: int = 0
     cold_until: float = 0.0
     busy: int = 0
@@ -449,10 +448,10 @@
     )
     if not changed:
         return effects
-    state.report = evolve(
+    state.report = replace(
         state.report,
         state=heartbeat.state,
-        load=evolve(state.report.load, slots=heartbeat.slots),
+        load=replace(state.report.load, slots=heartbeat.slots),
     )
     return effects + _publish(state, now)
 
@@ -460,7 +459,7 @@
 def _change_boot(state: AgentState, boot: str, now: float) -> list[Effect]:
     """Follow the upstream into a new run; the flows of the last one are gone."""
     before = state.report.boot
-    state.report = evolve(state.report, boot=boot)
+    state.report = replace(state.report, boot=boot)
     state.heartbeat_serial = 0
     if not before:
         return []
@@ -497,13 +496,13 @@
 def _set_state(state: AgentState, upstream: UpstreamState, now: float) -> list[Effect]:
     if state.report.state == upstream:
         return []
-    state.report = evolve(state.report, state=upstream)
+    state.report = replace(state.report, state=upstream)
     return _publish(state, now)
 
 
 def _publish(state: AgentState, now: float) -> list[Effect]:
     """Tell the balancers and the store what has changed."""
-    state.report = evolve(
+    state.report = replace(
         state.report, serial=state.report.serial + 1, load=make_load(state, now)
     )
     report = state.report
@@ -536,7 +535,7 @@
     state.balancers[event.source] = now
     match event.message:
         case Probe():
-            report = evolve(state.report, load=make_load(state, now))
+            report = replace(state.report, load=make_load(state, now))
             return [SendMessage(event.source, Announcement(report=report))]
         case Locate(flows=flows):
             return [SendMessage(event.source, _locate(state, flows, now))]
@@ -631,7 +630,7 @@
     if state.stop_at is not None:
         return []
     state.stop_at = event.now + state.stop_limit
-    state.report = evolve(state.report, stopping=True)
+    state.report = replace(state.report, stopping=True)
     note = Note(event=LogEvent.NODE_STOPPING, fields={"flows": len(state.flows)})
     return [note, *_publish(state, event.now)]
 
--- a/shedsill/datagram/_balancer.py
+++ b/shedsill/datagram/_balancer.py
@@ -6,10 +6,10 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Iterable
 
-from attrs import define, evolve, field
+from msgspec import Struct, field
+from msgspec.structs import replace
 
 from shedsill._catalogue import LogEvent
 from shedsill._shared_effects import Exit, Note
@@ -93,8 +93,7 @@
 """Seconds between looks at which agents hold flows of this balancer."""
 
 
-@define(slots=True)
-class BalancerFlow:
+class BalancerFlow(Struct):
     """A flow as one balancer remembers it.
 
     Attributes
@@ -116,15 +115,14 @@
     seen: float
     host: str = ""
     boot: str = ""
-    offered: dict[str, int | None] = field(factory=dict)
+    offered: dict[str, int | None] = field(default_factory=dict)
     opening: Packet | None = None
     offered_at: float = 0.0
     caller_ack: int = 0
     closed: bool = False
 
 
-@define
-class BalancerState:
+class BalancerState(Struct):
     """Everything that a balancer knows.
 
     Attributes
@@ -141,17 +139,17 @@
     seeds: tuple[str, ...]
     flow_lifetime: float
     stop_limit: float
-    generator: random.Random
-    table: ForwardingTable = field(factory=ForwardingTable)
-    nodes: Nodes = field(factory=Nodes)
-    flows: dict[bytes, BalancerFlow] = field(factory=dict)
-    placing: dict[bytes, BalancerFlow] = field(factory=dict)
-    searches: dict[bytes, Search] = field(factory=dict)
-    to_locate: dict[str, list[bytes]] = field(factory=dict)
-    holding_hosts: set[str] = field(factory=set)
+    table: ForwardingTable = field(default_factory=ForwardingTable)
+    nodes: Nodes = field(default_factory=Nodes)
+    flows: dict[bytes, BalancerFlow] = field(default_factory=dict)
+    placing: dict[bytes, BalancerFlow] = field(default_factory=dict)
+    searches: dict[bytes, Search] = field(default_factory=dict)
+    to_locate: dict[str, list[bytes]] = field(default_factory=dict)
+    holding_hosts: set[str] = field(default_factory=set)
     last_tick: float = 0.0
     last_packet: float = 0.0
     next_peer_exchange: float = 0.0
+    peer_exchanges: int = 0
     next_look: float = 0.0
     stop_at: float | None = None
 
@@ -237,7 +235,7 @@
         zone=state.report.zone,
         bulk=route.bulk,
         without=flow.offered,
-        generator=state.generator,
+        flow=packet.flow,
     )
     flow.offered_at = now
     if view is None:
@@ -700,7 +698,7 @@
         "source": event.source,
     }
     state.table = event.table
-    state.report = evolve(
+    state.report = replace(
         state.report, version=event.table.version, serial=state.report.serial + 1
     )
     note = Note(event=LogEvent.TABLE_APPLIED, fields=fields)
@@ -820,7 +818,8 @@
     ]
     if not hosts:
         return []
-    host = state.generator.choice(hosts)
+    state.peer_exchanges += 1
+    host = hosts[state.peer_exchanges % len(hosts)]
     return [SendMessage(host, Announcement(report=state.report))]
 
 
@@ -830,7 +829,7 @@
         return []
     state.stop_at = event.now + state.stop_limit
     state.last_packet = event.now
-    state.report = evolve(state.report, stopping=True, serial=state.report.serial + 1)
+    state.report = replace(state.report, stopping=True, serial=state.report.serial + 1)
     announcement = Announcement(report=state.report)
     return [
         Note(event=LogEvent.NODE_STOPPING, fields={"flows": len(state.flows)}),
--- a/shedsill/datagram/_effects.py
+++ b/shedsill/datagram/_effects.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-from attrs import define, frozen
+from msgspec import Struct
 
 from shedsill._shared_effects import Exit, Note
 from shedsill.datagram._messages import Message, NodeReport
 from shedsill.datagram._packet import Packet
 
 
-@define(slots=True)
-class ForwardPacket:
+class ForwardPacket(Struct):
     """Send a caller's packet to an agent.
 
     Attributes
@@ -24,8 +23,7 @@
     service: int
 
 
-@define(slots=True)
-class SendToUpstream:
+class SendToUpstream(Struct):
     """Give a caller's packet to the upstream beside this agent.
 
     Attributes
@@ -38,15 +36,13 @@
     balancer: str
 
 
-@define(slots=True)
-class SendToCaller:
+class SendToCaller(Struct):
     """Send an upstream's packet to its caller."""
 
     packet: Packet
 
 
-@define(slots=True)
-class ResetFlow:
+class ResetFlow(Struct):
     """Tell a caller that its flow has ended.
 
     Attributes
@@ -59,42 +55,36 @@
     seq: int
 
 
-@define(slots=True)
-class SendMessage:
+class SendMessage(Struct):
     """Send a message to another node."""
 
     host: str
     message: Message
 
 
-@frozen
-class StoreReport:
+class StoreReport(Struct, frozen=True):
     """Keep this node's report in the platform's store; the latest one counts."""
 
     report: NodeReport
 
 
-@frozen
-class RemoveReport:
+class RemoveReport(Struct, frozen=True):
     """Remove a report from the store if it is still of this incarnation."""
 
     report: NodeReport
 
 
-@frozen
-class CheckUpstream:
+class CheckUpstream(Struct, frozen=True):
     """Try a connection to the upstream's port."""
 
 
-@define(slots=True)
-class ObserveLatency:
+class ObserveLatency(Struct):
     """Count a duration: of an opening at a balancer, of a request at an agent."""
 
     seconds: float
 
 
-@frozen
-class PullTable:
+class PullTable(Struct, frozen=True):
     """Read the forwarding table from another balancer."""
 
     host: str
--- a/shedsill/datagram/_events.py
+++ b/shedsill/datagram/_events.py
@@ -5,37 +5,33 @@
 
 from __future__ import annotations
 
-from attrs import define, frozen
+from msgspec import Struct
 
 from shedsill.datagram._forwarding import ForwardingTable
 from shedsill.datagram._messages import Message, NodeReport, UpstreamState
 from shedsill.datagram._packet import Packet
 
 
-@frozen(kw_only=True)
-class Tick:
+class Tick(Struct, frozen=True, kw_only=True):
     """Time has passed; comes every `TICK_INTERVAL` seconds."""
 
     now: float
 
 
-@define(slots=True, kw_only=True)
-class CallerPacket:
+class CallerPacket(Struct, kw_only=True):
     """A balancer received a packet from a caller."""
 
     packet: Packet
     now: float
 
 
-@frozen(kw_only=True)
-class PacketsDrained:
+class PacketsDrained(Struct, frozen=True, kw_only=True):
     """No packet is left to be read for the moment."""
 
     now: float
 
 
-@define(slots=True, kw_only=True)
-class ForwardedPacket:
+class ForwardedPacket(Struct, kw_only=True):
     """An agent received a caller's packet from a balancer.
 
     Attributes
@@ -50,16 +46,14 @@
     now: float
 
 
-@define(slots=True, kw_only=True)
-class UpstreamPacket:
+class UpstreamPacket(Struct, kw_only=True):
     """An agent received a packet from its upstream."""
 
     packet: Packet
     now: float
 
 
-@frozen(kw_only=True)
-class MessageReceived:
+class MessageReceived(Struct, frozen=True, kw_only=True):
     """A message came from another node."""
 
     message: Message
@@ -67,8 +61,7 @@
     now: float
 
 
-@frozen(kw_only=True)
-class Heartbeat:
+class Heartbeat(Struct, frozen=True, kw_only=True):
     """What an upstream says of itself.
 
     Attributes
@@ -88,24 +81,21 @@
     cold: float = 0.0
 
 
-@frozen(kw_only=True)
-class HeartbeatReceived:
+class HeartbeatReceived(Struct, frozen=True, kw_only=True):
     """The upstream sent a heartbeat."""
 
     heartbeat: Heartbeat
     now: float
 
 
-@frozen(kw_only=True)
-class UpstreamLeft:
+class UpstreamLeft(Struct, frozen=True, kw_only=True):
     """The upstream said that this run of it is about to end."""
 
     boot: str
     now: float
 
 
-@frozen(kw_only=True)
-class UpstreamChecked:
+class UpstreamChecked(Struct, frozen=True, kw_only=True):
     """A connection to the upstream was tried.
 
     Attributes
@@ -121,8 +111,7 @@
     now: float
 
 
-@frozen(kw_only=True)
-class TableOffered:
+class TableOffered(Struct, frozen=True, kw_only=True):
     """A forwarding table came from the platform's store or a peer."""
 
     table: ForwardingTable
@@ -130,8 +119,7 @@
     now: float
 
 
-@frozen(kw_only=True)
-class ReportsListed:
+class ReportsListed(Struct, frozen=True, kw_only=True):
     """The store's reports of nodes were read or have changed.
 
     Attributes
@@ -148,8 +136,7 @@
     now: float
 
 
-@frozen(kw_only=True)
-class StopRequested:
+class StopRequested(Struct, frozen=True, kw_only=True):
     """The process was asked to stop."""
 
     now: float
--- a/shedsill/datagram/_forwarding.py
+++ b/shedsill/datagram/_forwarding.py
@@ -4,19 +4,17 @@
 
 import zlib
 
-from attrs import field, frozen
+from msgspec import Struct, field
 
 
-@frozen(kw_only=True)
-class ServiceShare:
+class ServiceShare(Struct, frozen=True, kw_only=True):
     """A service and its share of a route's new flows."""
 
     service: str
     weight: int = 1
 
 
-@frozen(kw_only=True)
-class Route:
+class Route(Struct, frozen=True, kw_only=True):
     """What the operator declared for one endpoint.
 
     Attributes
@@ -31,8 +29,7 @@
     bulk: bool = False
 
 
-@frozen(kw_only=True)
-class ForwardingTable:
+class ForwardingTable(Struct, frozen=True, kw_only=True):
     """All routes, as of one version of the operator's configuration.
 
     Attributes
@@ -48,9 +45,9 @@
     """
 
     version: int = 0
-    routes: dict[bytes, Route] = field(factory=dict)
+    routes: dict[bytes, Route] = field(default_factory=dict)
     idle_timeout: float = 60.0
-    health_paths: dict[str, str] = field(factory=dict)
+    health_paths: dict[str, str] = field(default_factory=dict)
 
 
 def choose_service(route: Route, flow: bytes) -> str:
--- a/shedsill/datagram/_messages.py
+++ b/shedsill/datagram/_messages.py
@@ -10,7 +10,7 @@
 import enum
 
 import msgspec
-from attrs import frozen
+from msgspec import Struct, field
 
 from shedsill.errors import DecodeError
 
@@ -32,8 +32,7 @@
     GONE = "gone"
 
 
-@frozen(kw_only=True)
-class Load:
+class Load(Struct, frozen=True, kw_only=True):
     """How full an upstream is, as its agent counts it.
 
     Attributes
@@ -57,8 +56,7 @@
     cold: float = 0.0
 
 
-@frozen(kw_only=True)
-class NodeReport:
+class NodeReport(Struct, frozen=True, kw_only=True):
     """What a node says of itself; kept in the platform's store too.
 
     Attributes
@@ -88,33 +86,29 @@
     boot: str = ""
     state: UpstreamState = UpstreamState.UNKNOWN
     stopping: bool = False
-    load: Load = Load()
+    load: Load = field(default_factory=Load)
     version: int = 0
 
 
-@frozen(kw_only=True)
-class Announcement:
+class Announcement(Struct, frozen=True, kw_only=True):
     """A node's report, sent when it changes and as an answer to `Probe`."""
 
     report: NodeReport
 
 
-@frozen(kw_only=True)
-class Probe:
+class Probe(Struct, frozen=True, kw_only=True):
     """Asks for an `Announcement`; carries the asking node's own report."""
 
     report: NodeReport
 
 
-@frozen(kw_only=True)
-class Roster:
+class Roster(Struct, frozen=True, kw_only=True):
     """The nodes that a balancer knows, for one that has just started."""
 
     reports: list[NodeReport]
 
 
-@frozen(kw_only=True)
-class FlowTaken:
+class FlowTaken(Struct, frozen=True, kw_only=True):
     """The upstream has answered an opening packet.
 
     Attributes
@@ -129,15 +123,13 @@
     load: Load
 
 
-@frozen(kw_only=True)
-class Locate:
+class Locate(Struct, frozen=True, kw_only=True):
     """Asks an agent which of these flows its upstream holds."""
 
     flows: list[bytes]
 
 
-@frozen(kw_only=True)
-class Located:
+class Located(Struct, frozen=True, kw_only=True):
     """Answer to `Locate`; each flow asked for is in one of the lists.
 
     Attributes
@@ -167,8 +159,7 @@
     WRONG_SERVICE = "another service"
 
 
-@frozen(kw_only=True)
-class PacketReturned:
+class PacketReturned(Struct, frozen=True, kw_only=True):
     """A packet that the agent's upstream did not take.
 
     Attributes
--- a/shedsill/datagram/_nodes.py
+++ b/shedsill/datagram/_nodes.py
@@ -9,7 +9,8 @@
 
 from collections.abc import Iterable
 
-from attrs import define, evolve, field
+from msgspec import Struct, field
+from msgspec.structs import replace
 
 from shedsill.datagram._messages import Load, NodeReport, Role
 from shedsill.datagram._selection import UpstreamView
@@ -33,8 +34,7 @@
 """Seconds between questions to an agent that was given up."""
 
 
-@define
-class Nodes:
+class Nodes(Struct):
     """All nodes known to one balancer.
 
     Attributes
@@ -47,8 +47,8 @@
         Whether the store has been read since the start.
     """
 
-    upstreams: dict[str, UpstreamView] = field(factory=dict)
-    balancers: dict[str, NodeReport] = field(factory=dict)
+    upstreams: dict[str, UpstreamView] = field(default_factory=dict)
+    balancers: dict[str, NodeReport] = field(default_factory=dict)
     listed: bool = False
 
     def list_service(self, service: str) -> list[UpstreamView]:
@@ -65,9 +65,9 @@
     Examples
     --------
     >>> one = NodeReport(host="a", role=Role.AGENT, zone="z", incarnation=1, serial=4)
-    >>> is_news(evolve(one, serial=5), one, direct=False)
+    >>> is_news(replace(one, serial=5), one, direct=False)
     True
-    >>> is_news(evolve(one, incarnation=2, serial=0), one, direct=False)
+    >>> is_news(replace(one, incarnation=2, serial=0), one, direct=False)
     False
     """
     if report.incarnation != known.incarnation:
@@ -100,7 +100,7 @@
     before = view.report
     if is_news(report, before, direct=direct or silent or view.lost):
         if not direct:
-            report = evolve(report, load=before.load)
+            report = replace(report, load=before.load)
         view.report = report
         view.offered = 0
     if direct:
@@ -122,7 +122,7 @@
     note_heard(view, now)
     view.offered = 0
     if boot == view.report.boot:
-        view.report = evolve(view.report, load=load)
+        view.report = replace(view.report, load=load)
 
 
 def is_due(view: UpstreamView, now: float, *, holds_flows: bool) -> bool:
--- a/shedsill/datagram/_packet.py
+++ b/shedsill/datagram/_packet.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from attrs import define
+from msgspec import Struct
 
 SYN = 1
 ACK = 2
@@ -14,8 +14,7 @@
 SEQUENCE_SPACE = 1 << 32
 
 
-@define(slots=True)
-class Packet:
+class Packet(Struct):
     """One packet; `data` is what is sent on, the rest was read from it.
 
     Attributes
--- a/shedsill/datagram/_runtime/agent.py
+++ b/shedsill/datagram/_runtime/agent.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 
 from shedsill._catalogue import LogEvent
 from shedsill._shared_effects import Note
@@ -26,7 +25,12 @@
 )
 from shedsill.datagram._messages import NodeReport
 from shedsill.datagram._runtime.http import Response
-from shedsill.datagram._runtime.node import HTTP_NOT_FOUND, HTTP_OK, Node
+from shedsill.datagram._runtime.node import (
+    HTTP_NOT_FOUND,
+    HTTP_OK,
+    Node,
+    draw_incarnation,
+)
 from shedsill.datagram.adapter import HeartbeatCodec, NodeSettings, PacketCodec
 from shedsill.errors import DecodeError
 
@@ -157,7 +161,7 @@
             host=settings.host,
             role=settings.role,
             zone=settings.zone,
-            incarnation=random.SystemRandom().getrandbits(48),
+            incarnation=draw_incarnation(),
             service=settings.service,
         ),
         seeds=settings.seeds,
--- a/shedsill/datagram/_runtime/balancer.py
+++ b/shedsill/datagram/_runtime/balancer.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 
 import msgspec
 
@@ -25,7 +24,12 @@
 from shedsill.datagram._events import CallerPacket, ReportsListed, TableOffered
 from shedsill.datagram._messages import NodeReport, load_report
 from shedsill.datagram._runtime.http import HttpClient, Response
-from shedsill.datagram._runtime.node import HTTP_NOT_FOUND, HTTP_OK, Node
+from shedsill.datagram._runtime.node import (
+    HTTP_NOT_FOUND,
+    HTTP_OK,
+    Node,
+    draw_incarnation,
+)
 from shedsill.datagram._runtime.reports import REPORT_KIND
 from shedsill.datagram.adapter import NodeSettings, PacketCodec, TableSource
 from shedsill.errors import DecodeError
@@ -218,18 +222,16 @@
     source: TableSource,
 ) -> BalancerNode:
     """Return a balancer; call it inside the running loop."""
-    drawn = random.SystemRandom()
     state = BalancerState(
         report=NodeReport(
             host=settings.host,
             role=settings.role,
             zone=settings.zone,
-            incarnation=drawn.getrandbits(48),
+            incarnation=draw_incarnation(),
         ),
         seeds=settings.seeds,
         flow_lifetime=settings.flow_lifetime,
         stop_limit=settings.stop_limit,
-        generator=random.Random(drawn.getrandbits(48)),
     )
     return BalancerNode(
         state, settings=settings, codec=codec, platform=platform, source=source
--- a/shedsill/datagram/_runtime/http.py
+++ b/shedsill/datagram/_runtime/http.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 
 import httptools
-from attrs import define, field, frozen
+from msgspec import Struct
 
 from shedsill._addresses import Address
 
@@ -25,8 +25,7 @@
 """Milliseconds without an acknowledgement after which the kernel gives up."""
 
 
-@frozen(kw_only=True)
-class Response:
+class Response(Struct, frozen=True, kw_only=True):
     """An HTTP answer."""
 
     status: int
@@ -81,15 +80,15 @@
             self.transport.abort()
 
 
-@define
 class HttpClient:
     """Calls one server over connections that are kept open between calls.
 
     A connection on which an answer stayed out is never used again.
     """
 
-    address: Address
-    _idle: list[_ClientProtocol] = field(factory=list)
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self._idle: list[_ClientProtocol] = []
 
     async def request(
         self, method: str, target: str, body: bytes | None, *, timeout: float
--- a/shedsill/datagram/_runtime/log.py
+++ b/shedsill/datagram/_runtime/log.py
@@ -14,7 +14,6 @@
 from collections.abc import Callable
 
 import msgspec
-from attrs import define, field
 
 from shedsill._catalogue import LogEvent
 from shedsill._limits import Bucket, Rate, take_token
@@ -30,7 +29,6 @@
 STANDARD_OUTPUT = 1
 
 
-@define
 class JsonLog:
     """Writes and counts notes for one node.
 
@@ -44,17 +42,22 @@
         Lines left out.
     """
 
-    node: str
-    describe: Callable[[bytes], str]
-    descriptor: int = STANDARD_OUTPUT
-    counts: Counter[LogEvent] = field(factory=Counter)
-    dropped: int = 0
-    _reported: int = 0
-    _buckets: dict[LogEvent, Bucket] = field(factory=dict)
-    _backlog: bytearray = field(factory=bytearray)
-
-    def __attrs_post_init__(self) -> None:
-        os.set_blocking(self.descriptor, False)
+    def __init__(
+        self,
+        *,
+        node: str,
+        describe: Callable[[bytes], str],
+        descriptor: int = STANDARD_OUTPUT,
+    ) -> None:
+        self.node = node
+        self.describe = describe
+        self.descriptor = descriptor
+        self.counts: Counter[LogEvent] = Counter()
+        self.dropped = 0
+        self._reported = 0
+        self._buckets: dict[LogEvent, Bucket] = {}
+        self._backlog = bytearray()
+        os.set_blocking(descriptor, False)
 
     def write(self, note: Note, now: float) -> None:
         """Count a note and queue its line."""
@@ -64,17 +67,16 @@
         if not passed or len(self._backlog) > MAX_BACKLOG:
             self.dropped += 1
             return
-        self._append(note, now)
+        self._append(note)
 
-    def _append(self, note: Note, now: float) -> None:
+    def _append(self, note: Note) -> None:
         entry = note.event.value
         line = {
             "time": round(time.time(), 3),
-            "clock": round(now, 3),
+            "node": self.node,
             "level": entry.level.value,
             "event": entry.number,
             "name": note.event.name.lower(),
-            "node": self.node,
             **note.fields,
         }
         flow = note.fields.get("flow")
@@ -82,12 +84,12 @@
             line["flow"] = self.describe(flow)
         self._backlog += msgspec.json.encode(line) + b"\n"
 
-    def flush(self, now: float) -> None:
+    def flush(self) -> None:
         """Write what has been queued, as far as it goes without waiting."""
         if self.dropped > self._reported and len(self._backlog) <= MAX_BACKLOG:
             fields = {"dropped": self.dropped - self._reported}
             self._reported = self.dropped
-            self._append(Note(event=LogEvent.LINES_DROPPED, fields=fields), now)
+            self._append(Note(event=LogEvent.LINES_DROPPED, fields=fields))
         if not self._backlog:
             return
         try:
--- a/shedsill/datagram/_runtime/metrics.py
+++ b/shedsill/datagram/_runtime/metrics.py
@@ -9,15 +9,12 @@
 import bisect
 from collections.abc import Mapping
 
-from attrs import define, field
-
 from shedsill._catalogue import LogEvent
 
 LATENCY_BOUNDS = (0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0)
 """Upper bounds in seconds; three to a decade, up to the callers' deadlines."""
 
 
-@define
 class Histogram:
     """Counts of durations by upper bound.
 
@@ -29,10 +26,11 @@
     'wait_seconds_bucket{le="0.003"} 1'
     """
 
-    name: str
-    text: str
-    _counts: list[int] = field(factory=lambda: [0] * (len(LATENCY_BOUNDS) + 1))
-    _sum: float = 0.0
+    def __init__(self, name: str, text: str) -> None:
+        self.name = name
+        self.text = text
+        self._counts = [0] * (len(LATENCY_BOUNDS) + 1)
+        self._sum = 0.0
 
     def observe(self, seconds: float) -> None:
         """Count one duration."""
--- a/shedsill/datagram/_runtime/node.py
+++ b/shedsill/datagram/_runtime/node.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import errno
+import os
 import signal
 import socket
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from shedsill._addresses import Address
@@ -144,11 +145,11 @@
         for sock in self._sockets:
             self._loop.remove_reader(sock)
             sock.close()
-        self.log.flush(self.now)
+        self.log.flush()
 
     def _tick(self) -> None:
         self.dispatch(Tick(now=self.now))
-        self.log.flush(self.now)
+        self.log.flush()
         if not self._exited.is_set():
             self._loop.call_later(TICK_INTERVAL, self._tick)
 
@@ -316,4 +317,6 @@
         self._platform_failed = failure is not None
 
 
-Sleep = Callable[[float], Awaitable[None]]
+def draw_incarnation() -> int:
+    """Draw the number of this start of the process."""
+    return int.from_bytes(os.getrandom(6), "big")
--- a/shedsill/datagram/_runtime/reports.py
+++ b/shedsill/datagram/_runtime/reports.py
@@ -6,8 +6,6 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from attrs import define
-
 from shedsill._catalogue import LogEvent
 from shedsill._shared_effects import Note
 from shedsill.coordination.backoff import Backoff, get_delay
@@ -32,7 +30,6 @@
 """Seconds that a planned stop waits for the last write."""
 
 
-@define
 class ReportWriter:
     """Writes the latest report that was asked for, until the store has it.
 
@@ -46,13 +43,16 @@
         Whether `wanted` is to be removed rather than stored.
     """
 
-    platform: Platform
-    write_note: Callable[[Note], None]
-    version: int = 0
-    wanted: NodeReport | None = None
-    removing: bool = False
-    _running: asyncio.Event | None = None
-    _idle: bool = True
+    def __init__(
+        self, *, platform: Platform, write_note: Callable[[Note], None]
+    ) -> None:
+        self.platform = platform
+        self.write_note = write_note
+        self.version = 0
+        self.wanted: NodeReport | None = None
+        self.removing = False
+        self._running: asyncio.Event | None = None
+        self._idle = True
 
     def store(
         self,
--- a/shedsill/datagram/_searches.py
+++ b/shedsill/datagram/_searches.py
@@ -5,7 +5,7 @@
 import enum
 from collections.abc import Iterable
 
-from attrs import define, field
+from msgspec import Struct, field
 
 from shedsill.datagram._packet import Packet
 
@@ -31,8 +31,7 @@
     TRYING = "trying"
 
 
-@define
-class Search:
+class Search(Struct):
     """One flow that is being looked for.
 
     Attributes
@@ -54,7 +53,7 @@
     asked: float
     seen: float
     phase: Phase = Phase.ASKING
-    unsure: set[str] = field(factory=set)
+    unsure: set[str] = field(default_factory=set)
 
 
 def begin_search(packet: Packet, hosts: Iterable[str], now: float) -> Search:
--- a/shedsill/datagram/_selection.py
+++ b/shedsill/datagram/_selection.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import random
 import zlib
 from collections.abc import Collection, Iterable
 
-from attrs import define
+from msgspec import Struct
 
 from shedsill.datagram._messages import NodeReport, UpstreamState
 
@@ -28,8 +27,7 @@
 TAKING = (UpstreamState.READY, UpstreamState.UNKNOWN)
 
 
-@define
-class UpstreamView:
+class UpstreamView(Struct):
     """What a balancer knows of one agent and its upstream.
 
     Attributes
@@ -90,7 +88,7 @@
     zone: str,
     bulk: bool,
     without: Collection[str],
-    generator: random.Random,
+    flow: bytes,
 ) -> UpstreamView | None:
     """Return the upstream for a new flow, or None if there is none.
 
@@ -104,15 +102,26 @@
         Whether the route carries large bodies.
     without : collection of str
         Hosts that were offered the flow before.
+    flow : bytes
+        Key of the flow; breaks ties.
     """
     penalty = BULK_ZONE_PENALTY if bulk else ZONE_PENALTY
     best: UpstreamView | None = None
-    best_score = (True, 0.0, 0.0)
+    best_score = (True, 0.0, 0)
     for view in views:
         if not can_take(view) or view.report.host in without:
             continue
         distance = 0.0 if view.report.zone == zone else penalty
-        score = (view.suspect, measure_fullness(view) + distance, generator.random())
+        score = (
+            view.suspect,
+            measure_fullness(view) + distance,
+            _break_tie(flow, view),
+        )
         if best is None or score < best_score:
             best, best_score = view, score
     return best
+
+
+def _break_tie(flow: bytes, view: UpstreamView) -> int:
+    """Return a number that differs between flows and hosts, but not in time."""
+    return zlib.crc32(view.report.host.encode(), zlib.crc32(flow))
--- a/shedsill/datagram/adapter.py
+++ b/shedsill/datagram/adapter.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from attrs import frozen
+from msgspec import Struct
 
 from shedsill._addresses import Address
 from shedsill.datagram._events import Heartbeat, UpstreamLeft
@@ -25,8 +25,7 @@
 ]
 
 
-@frozen(kw_only=True)
-class NodeSettings:
+class NodeSettings(Struct, frozen=True, kw_only=True):
     """Settings of one node.
 
     Attributes
@@ -114,8 +113,7 @@
         ...
 
 
-@frozen(kw_only=True)
-class TableSource:
+class TableSource(Struct, frozen=True, kw_only=True):
     """Where the operator's forwarding table is kept, and how it is read.
 
     Attributes
--- a/shedsill/platform/heartbeats.py
+++ b/shedsill/platform/heartbeats.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import msgspec
-from attrs import frozen
+from msgspec import Struct
 
 from shedsill.datagram._events import Heartbeat, UpstreamLeft
 from shedsill.datagram._messages import UpstreamState
@@ -14,8 +14,7 @@
 INSTANCES = "/-/instances/"
 
 
-@frozen(kw_only=True)
-class _Beat:
+class _Beat(Struct, frozen=True, kw_only=True):
     """Body of a heartbeat.
 
     Attributes
--- a/shedsill/platform/manifest.py
+++ b/shedsill/platform/manifest.py
@@ -6,7 +6,7 @@
 import struct
 
 import msgspec
-from attrs import field, frozen
+from msgspec import Struct, field
 
 from shedsill.datagram._forwarding import ForwardingTable, Route, ServiceShare
 from shedsill.datagram.adapter import TableSource
@@ -15,14 +15,12 @@
 __all__ = ["TABLE_SOURCE", "decode_table"]
 
 
-@frozen(kw_only=True)
-class _Backend:
+class _Backend(Struct, frozen=True, kw_only=True):
     service: str
     weight: int
 
 
-@frozen(kw_only=True)
-class _Route:
+class _Route(Struct, frozen=True, kw_only=True):
     """One route.
 
     Attributes
@@ -43,23 +41,20 @@
     backends: tuple[_Backend, ...] = ()
 
 
-@frozen(kw_only=True)
-class _Service:
+class _Service(Struct, frozen=True, kw_only=True):
     name: str
     health_path: str = "/health"
 
 
-@frozen(kw_only=True)
-class _Limits:
+class _Limits(Struct, frozen=True, kw_only=True):
     idle_timeout_ms: int = 60_000
 
 
-@frozen(kw_only=True)
-class _Manifest:
+class _Manifest(Struct, frozen=True, kw_only=True):
     version: int
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...] = ()
-    limits: _Limits = field(factory=_Limits)
+    limits: _Limits = field(default_factory=_Limits)
 
 
 def decode_table(value: object) -> ForwardingTable:
--- a/shedsill/platform/settings.py
+++ b/shedsill/platform/settings.py
@@ -6,7 +6,7 @@
 import pathlib
 
 import msgspec
-from attrs import frozen
+from msgspec import Struct, field
 
 from shedsill._addresses import Address, parse_address
 from shedsill.datagram._messages import Role
@@ -21,8 +21,7 @@
 """Seconds before the platform's SIGKILL at which a planned stop is over."""
 
 
-@frozen(kw_only=True)
-class _Listen:
+class _Listen(Struct, frozen=True, kw_only=True):
     """Addresses on this VM.
 
     Attributes
@@ -39,19 +38,16 @@
     control: str = ""
 
 
-@frozen(kw_only=True)
-class _Bounds:
+class _Bounds(Struct, frozen=True, kw_only=True):
     flow_ttl_s: float = 60
     grace_s: float = 6
 
 
-@frozen(kw_only=True)
-class _Store:
+class _Store(Struct, frozen=True, kw_only=True):
     addr: str
 
 
-@frozen(kw_only=True)
-class _File:
+class _File(Struct, frozen=True, kw_only=True):
     """The fields that this program uses.
 
     Attributes
@@ -72,15 +68,14 @@
     port_range: tuple[int, int]
     listen: _Listen
     platform: _Store
-    bounds: _Bounds = _Bounds()
+    bounds: _Bounds = field(default_factory=_Bounds)
     seeds: tuple[str, ...] = ()
     bootstrap: bool = False
     app: str = ""
     service: str = ""
 
 
-@frozen(kw_only=True)
-class PlatformSettings:
+class PlatformSettings(Struct, frozen=True, kw_only=True):
     """Settings of a node, and where the platform's store is."""
 
     node: NodeSettings
--- a/shedsill/platform/store.py
+++ b/shedsill/platform/store.py
@@ -7,10 +7,8 @@
 from __future__ import annotations
 
 from typing import Any
-from urllib.parse import quote
 
 import msgspec
-from attrs import define, field
 
 from shedsill._addresses import Address
 from shedsill.coordination.platform import (
@@ -52,15 +50,11 @@
     """The store answered something that the call does not expect."""
 
 
-@define
 class ObjectStore:
     """Implements `shedsill.coordination.platform.Platform`."""
 
-    address: Address
-    _client: HttpClient = field(init=False)
-
-    def __attrs_post_init__(self) -> None:
-        self._client = HttpClient(self.address)
+    def __init__(self, address: Address) -> None:
+        self._client = HttpClient(address)
 
     async def call(self, call: Call) -> Outcome:
         """Carry out one call; failures come back as `Unavailable`."""
@@ -93,7 +87,7 @@
                 return Unavailable(reason="this platform keeps no list of VMs")
 
     async def _get(self, kind: str, name: str) -> Outcome:
-        response = await self._request("GET", f"{ROOT}/{kind}/{quote(name)}")
+        response = await self._request("GET", f"{ROOT}/{kind}/{name}")
         if response.status == NOT_FOUND:
             return Found(object=None)
         return Found(object=_read_object(kind, _read_body(response)))
@@ -106,7 +100,7 @@
             objects += [_read_object(kind, item) for item in body["items"]]
             if not body.get("truncated"):
                 break
-            target = f"{ROOT}/{kind}?after={quote(objects[-1].name)}"
+            target = f"{ROOT}/{kind}?after={objects[-1].name}"
         return Listing(objects=tuple(objects), revision=body["current_rev"])
 
     async def _watch(self, kind: str, call: Watch) -> Outcome:
@@ -133,13 +127,13 @@
         method = "POST"
         if call.expected:
             meta["rev"] = call.expected
-            target = f"{target}/{quote(call.name)}"
+            target = f"{target}/{call.name}"
             method = "PUT"
         body = msgspec.json.encode({"meta": meta, "spec": call.value, "status": None})
         return _read_write(call.kind, await self._request(method, target, body))
 
     async def _delete(self, call: Delete) -> Outcome:
-        target = f"{ROOT}/{call.kind}/{quote(call.name)}?rev={call.expected}"
+        target = f"{ROOT}/{call.kind}/{call.name}?rev={call.expected}"
         return _read_write(call.kind, await self._request("DELETE", target))
 
     async def _request(
--- a/shedsill/tests/test_guards.py
+++ b/shedsill/tests/test_guards.py
@@ -11,6 +11,7 @@
 
 import pytest
 from attrs import evolve, frozen
+from msgspec.structs import replace
 
 from shedsill import (
     _agent,
@@ -227,7 +228,7 @@
     self.revision += 1
     current = self.objects.get((call.kind, call.name))
     expected = current.version if current else 0
-    outcome = _original_put(self, evolve(call, expected=expected))
+    outcome = _original_put(self, replace(call, expected=expected))
     assert isinstance(outcome, Stored)
     return outcome
 
