--- a/shedsill/datagram/_agent.py
+++ b/shedsill/datagram/_agent.py
@@ -28,6 +28,7 @@
 )
 from shedsill.datagram._events import (
     ForwardedPacket,
+    Heartbeat,
     HeartbeatReceived,
     MessageReceived,
     StopRequested,
@@ -59,7 +60,10 @@
     is_opening,
     measure_advance,
 )
-from shedsill.datagram._selection import number_service
+from shedsill.datagram._selection import REFUSAL_PAUSE, number_service
+
+FIRST_SERIAL = 1
+"""Number of the first heartbeat of an upstream's run."""
 
 RECEIVE_WINDOW = 76_800
 """Octets by which an acknowledgement may be ahead of a flow's first one."""
@@ -162,6 +166,7 @@
     busy: int = 0
     average: float = 0.0
     average_at: float = 0.0
+    refusing_until: float = 0.0
     owed_since: float | None = None
     checked_at: float = 0.0
     checking: bool = False
@@ -217,7 +222,7 @@
 def _take_opening(
     state: AgentState, packet: Packet, balancer: str, now: float
 ) -> list[Effect]:
-    if not takes_flows(state):
+    if not takes_flows(state) or now < state.refusing_until:
         return _return(state, packet, balancer, ReturnReason.NOT_TAKING, now)
     flow = state.flows.get(packet.flow)
     if flow is None:
@@ -418,6 +423,8 @@
     if flow is not None:
         _close(state, flow, now)
     opening = is_opening(packet)
+    if opening:
+        state.refusing_until = now + REFUSAL_PAUSE
     reason = ReturnReason.REFUSED if opening else ReturnReason.NOT_HELD
     balancer = packet.balancer or (flow.balancer if flow else "")
     if not balancer:
@@ -436,7 +443,7 @@
         return []
     effects: list[Effect] = []
     if heartbeat.boot != report.boot:
-        effects += _change_boot(state, heartbeat.boot, now)
+        effects += _change_boot(state, heartbeat, now)
     elif heartbeat.serial <= state.heartbeat_serial:
         return []
     state.heartbeat_serial = heartbeat.serial
@@ -453,14 +460,23 @@
         state=heartbeat.state,
         load=replace(state.report.load, slots=heartbeat.slots),
     )
-    return effects + _publish(state, now)
+    effects += _publish(state, now)
+    fields = {"boot": heartbeat.boot, "serial": heartbeat.serial}
+    fields |= {"cold": heartbeat.cold, "complete": state.complete}
+    return [*effects, Note(event=LogEvent.HEARTBEAT_TAKEN, fields=fields)]
+
 
+def _change_boot(state: AgentState, heartbeat: Heartbeat, now: float) -> list[Effect]:
+    """Follow the upstream into a new run; the flows of the last one are gone.
 
-def _change_boot(state: AgentState, boot: str, now: float) -> list[Effect]:
-    """Follow the upstream into a new run; the flows of the last one are gone."""
+    The first heartbeat of a run shows that the run began under this agent, so
+    that it holds no flow from before the agent's start.
+    """
     before = state.report.boot
-    state.report = replace(state.report, boot=boot)
+    state.report = replace(state.report, boot=heartbeat.boot)
     state.heartbeat_serial = 0
+    if heartbeat.serial == FIRST_SERIAL:
+        state.complete = True
     if not before:
         return []
     state.retired.add(before)
--- a/shedsill/datagram/_balancer.py
+++ b/shedsill/datagram/_balancer.py
@@ -55,6 +55,7 @@
 from shedsill.datagram._packet import FIN, RST, Packet, is_opening, measure_advance
 from shedsill.datagram._searches import Phase, Search
 from shedsill.datagram._selection import (
+    REFUSAL_PAUSE,
     UpstreamView,
     can_take,
     choose_upstream,
@@ -76,6 +77,10 @@
 MAX_FLOWS = 200_000
 """Flows remembered; a flow forgotten is found again by asking the agents."""
 
+RESET_MEMORY = 2.0
+"""Seconds for which a reset flow is remembered, so that its packets that are
+still under way are answered in the same way and not searched for again."""
+
 CLOSED_LINGER = 3.0
 """Seconds for which a flow is remembered after its caller has closed it; its
 last packets may be sent again."""
@@ -131,6 +136,8 @@
         What it says of itself.
     placing : dict of bytes to BalancerFlow
         The flows whose opening packet has no answer yet.
+    resets : dict of bytes to float
+        Flows that were reset lately, and when.
     to_locate : dict of str to list of bytes
         Flows to ask each agent for when the sockets are drained.
     """
@@ -144,6 +151,7 @@
     flows: dict[bytes, BalancerFlow] = field(default_factory=dict)
     placing: dict[bytes, BalancerFlow] = field(default_factory=dict)
     searches: dict[bytes, Search] = field(default_factory=dict)
+    resets: dict[bytes, float] = field(default_factory=dict)
     to_locate: dict[str, list[bytes]] = field(default_factory=dict)
     holding_hosts: set[str] = field(default_factory=set)
     last_tick: float = 0.0
@@ -236,19 +244,20 @@
         bulk=route.bulk,
         without=flow.offered,
         flow=packet.flow,
+        now=now,
     )
     flow.offered_at = now
     if view is None:
         return _give_up_opening(state, flow, packet)
     flow.offered[view.report.host] = None
-    view.offered += 1
+    view.offers.append(now)
     fields = {
         "flow": packet.flow,
         "service": flow.service,
         "upstream": view.report.host,
         "busy": view.report.load.busy,
-        "offered": view.offered,
-        "age": round(now - view.heard, 3),
+        "offers": len(view.offers),
+        "age": round(now - view.heard, 3) if view.heard else None,
         "attempt": len(flow.offered),
         "table": state.table.version,
     }
@@ -327,6 +336,8 @@
 def _search(state: BalancerState, packet: Packet, now: float) -> list[Effect]:
     if packet.flags & RST:
         return []
+    if packet.flow in state.resets:
+        return [ResetFlow(packet.flow, packet.ack)]
     search = state.searches.get(packet.flow)
     if search is None:
         if len(state.searches) >= _searches.MAX_SEARCHES:
@@ -336,8 +347,6 @@
         _ask(state, packet.flow, hosts)
         return []
     _searches.hold_packet(search, packet, now)
-    if search.phase == Phase.TRYING:
-        return _try_packet(state, search, packet)
     if _searches.is_due(search, now):
         return _ask_again(state, packet.flow, search, now)
     return _conclude(state, packet.flow, search)
@@ -425,6 +434,7 @@
         return []
     packet = search.packets[-1]
     del state.searches[flow]
+    state.resets[flow] = search.seen
     fields = {"flow": flow, "asked": len(state.nodes.upstreams)}
     return [
         ResetFlow(flow, packet.ack),
@@ -525,6 +535,9 @@
     }
     note = Note(event=LogEvent.PACKET_RETURNED, fields=fields)
     if is_opening(packet):
+        view = state.nodes.upstreams.get(source)
+        if view is not None:
+            view.refused_until = now + REFUSAL_PAUSE
         return [note, *_offer_elsewhere(state, packet, source, now)]
     flow = state.flows.get(packet.flow)
     if flow is not None and source in flow.offered:
@@ -563,6 +576,8 @@
 ) -> list[Effect]:
     """Look for a flow whose packet an agent has handed back."""
     search = state.searches.get(packet.flow)
+    if packet.flow in state.resets:
+        return []
     if search is None:
         if packet.flags & RST or len(state.searches) >= _searches.MAX_SEARCHES:
             return []
@@ -653,6 +668,7 @@
         flow = state.flows.pop(key)
         state.placing.pop(key, None)
         if not flow.closed:
+            state.resets[key] = flow.seen
             effects.append(ResetFlow(key, flow.caller_ack))
     if keys:
         fields = {"upstream": host, "flows": len(keys), "reason": reason}
@@ -776,6 +792,9 @@
         elif flow.host and not flow.closed:
             holding.add(flow.host)
     state.holding_hosts = holding
+    for key, at in list(state.resets.items()):
+        if now - at > RESET_MEMORY:
+            del state.resets[key]
     return []
 
 
--- a/shedsill/datagram/_nodes.py
+++ b/shedsill/datagram/_nodes.py
@@ -27,7 +27,11 @@
 0.1 s for which a VM out of processor quota stands still, and below the deadline
 of any request, so that callers have time for another try."""
 
-LOST_QUESTIONS = 5
+UNHEARD_LOST_AFTER = 0.5
+"""The same for an agent of which only the store has told since this balancer's
+start: most such reports are of VMs that are gone."""
+
+LOST_QUESTIONS = 3
 """Questions that must have gone unanswered by then; datagrams may be lost."""
 
 LOST_ASK_INTERVAL = 0.5
@@ -95,14 +99,15 @@
         return known
     view = nodes.upstreams.get(report.host)
     if view is None:
-        nodes.upstreams[report.host] = UpstreamView(report=report, heard=now)
+        nodes.upstreams[report.host] = UpstreamView(report=report)
+        if direct:
+            note_heard(nodes.upstreams[report.host], now)
         return None
     before = view.report
     if is_news(report, before, direct=direct or silent or view.lost):
         if not direct:
             report = replace(report, load=before.load)
         view.report = report
-        view.offered = 0
     if direct:
         note_heard(view, now)
     return before
@@ -120,7 +125,6 @@
 def note_load(view: UpstreamView, load: Load, boot: str, now: float) -> None:
     """Take in the load that came with another message."""
     note_heard(view, now)
-    view.offered = 0
     if boot == view.report.boot:
         view.report = replace(view.report, load=load)
 
@@ -128,7 +132,8 @@
 def is_due(view: UpstreamView, now: float, *, holds_flows: bool) -> bool:
     """Whether an agent has to be asked now whether it is alive."""
     if view.silent_since is None:
-        return (holds_flows or view.suspect) and now - view.heard >= SILENT_AFTER
+        wanted = holds_flows or view.suspect or not view.heard
+        return wanted and now - view.heard >= SILENT_AFTER
     interval = LOST_ASK_INTERVAL if view.lost else ASK_INTERVAL
     return now - view.asked >= interval
 
@@ -155,7 +160,8 @@
     """Whether the flows of a silent agent are to be given up now."""
     if view.lost or view.silent_since is None or view.report.stopping:
         return False
-    return now - view.silent_since >= LOST_AFTER and view.questions >= LOST_QUESTIONS
+    limit = LOST_AFTER if view.heard else UNHEARD_LOST_AFTER
+    return now - view.silent_since >= limit and view.questions >= LOST_QUESTIONS
 
 
 def shift_silences(views: Iterable[UpstreamView], pause: float) -> None:
--- a/shedsill/datagram/_selection.py
+++ b/shedsill/datagram/_selection.py
@@ -5,7 +5,7 @@
 import zlib
 from collections.abc import Collection, Iterable
 
-from msgspec import Struct
+from msgspec import Struct, field
 
 from shedsill.datagram._messages import NodeReport, UpstreamState
 
@@ -20,6 +20,18 @@
 COLD_FACTOR = 1.6
 """How much slower an upstream works just after its start (users' figures)."""
 
+OFFER_WINDOW = 0.15
+"""Seconds for which an offered flow counts as a busy request, beside what the
+agent reports: an opening's report comes before its request does."""
+
+FRESH_FOR = 0.2
+"""Seconds over which a reported count of busy requests gives way to its
+average: requests of these services take 0.05 to 0.1 s."""
+
+REFUSAL_PAUSE = 0.3
+"""Seconds without openings for an upstream that has refused one: it is leaving,
+full, or not up yet, and each further try costs its caller a round trip."""
+
 DEFAULT_SLOTS = 2
 """Slots assumed of an upstream whose first heartbeat has not come yet; the
 fewest of any deployment described."""
@@ -34,8 +46,10 @@
     ----------
     heard : float
         When the agent's last message came.
-    offered : int
-        Flows offered since the last load came.
+    offers : list of float
+        When flows were offered lately, see `OFFER_WINDOW`.
+    refused_until : float
+        Until when it is passed over because it has refused a flow.
     silent_since : float or None
         When the first of the questions was sent that it has not answered.
     asked : float
@@ -50,7 +64,8 @@
 
     report: NodeReport
     heard: float = 0.0
-    offered: int = 0
+    offers: list[float] = field(default_factory=list)
+    refused_until: float = 0.0
     silent_since: float | None = None
     asked: float = 0.0
     questions: int = 0
@@ -69,14 +84,24 @@
     return report.state in TAKING and not report.stopping and not view.lost
 
 
-def measure_fullness(view: UpstreamView) -> float:
+def count_offers(view: UpstreamView, now: float) -> int:
+    """Return the flows offered within `OFFER_WINDOW`; older ones are dropped."""
+    offers = view.offers
+    while offers and now - offers[0] > OFFER_WINDOW:
+        del offers[0]
+    return len(offers)
+
+
+def measure_fullness(view: UpstreamView, now: float) -> float:
     """Return the requests per slot that a new flow would meet.
 
-    The load just reported and its average over a second count alike: the first
-    is about to change, and the second does not know the latest change.
+    A count that has just been reported stands as it is; an older one gives way
+    to the average over a second.
     """
     load = view.report.load
-    busy = (load.busy + load.average) / 2 + view.offered
+    freshness = max(1.0 - (now - view.heard) / FRESH_FOR, 0.0)
+    busy = load.average + (load.busy - load.average) * freshness
+    busy += count_offers(view, now)
     slots = load.slots or DEFAULT_SLOTS
     factor = COLD_FACTOR if load.cold > 0 else 1.0
     return busy * factor / slots
@@ -89,6 +114,7 @@
     bulk: bool,
     without: Collection[str],
     flow: bytes,
+    now: float,
 ) -> UpstreamView | None:
     """Return the upstream for a new flow, or None if there is none.
 
@@ -112,11 +138,9 @@
         if not can_take(view) or view.report.host in without:
             continue
         distance = 0.0 if view.report.zone == zone else penalty
-        score = (
-            view.suspect,
-            measure_fullness(view) + distance,
-            _break_tie(flow, view),
-        )
+        avoided = view.suspect or now < view.refused_until
+        fullness = measure_fullness(view, now)
+        score = (avoided, fullness + distance, _break_tie(flow, view))
         if best is None or score < best_score:
             best, best_score = view, score
     return best
--- a/shedsill/platform/__main__.py
+++ b/shedsill/platform/__main__.py
@@ -1,68 +1,13 @@
-"""Run a node on the platform: ``python -m shedsill.platform balancer|agent``.
-
-Settings come in the file that `SHEDSILL_BOOT` names; click, which the other
-commands use, is left out to keep the start short.
-"""
+"""Run a node on the platform: ``python -m shedsill.platform balancer|agent``."""
 
 from __future__ import annotations
 
-import asyncio
 import sys
 
-from shedsill.datagram._messages import Role
-from shedsill.datagram._runtime.node import Node
-from shedsill.errors import SettingError
-from shedsill.platform.packets import HeadCodec
-from shedsill.platform.settings import PlatformSettings, read_settings
-from shedsill.platform.store import ObjectStore
-
-EXIT_FAILED = 1
-EXIT_USAGE = 2
-
-
-def make_node(settings: PlatformSettings) -> Node:
-    """Return the node of a role, importing only what it needs."""
-    store = ObjectStore(settings.store)
-    match settings.node.role:
-        case Role.BALANCER:
-            from shedsill.datagram._runtime.balancer import make_balancer
-            from shedsill.platform.manifest import TABLE_SOURCE
-
-            return make_balancer(
-                settings.node, codec=HeadCodec(), platform=store, source=TABLE_SOURCE
-            )
-        case Role.AGENT:
-            from shedsill.datagram._runtime.agent import make_agent
-            from shedsill.platform.heartbeats import InstanceCalls
-
-            return make_agent(
-                settings.node,
-                codec=HeadCodec(),
-                platform=store,
-                heartbeats=InstanceCalls(),
-            )
-
-
-async def run_node(settings: PlatformSettings) -> int:
-    """Run until the planned stop is complete; return the exit code."""
-    node = make_node(settings)
-    await node.run()
-    return EXIT_FAILED if node.failure else 0
-
-
-def main() -> int:
-    """Check the command line and the settings, then run."""
-    roles = {role.value: role for role in Role}
-    if len(sys.argv) != 2 or sys.argv[1] not in roles:
-        print(f"usage: python -m shedsill.platform {'|'.join(roles)}", file=sys.stderr)
-        return EXIT_USAGE
-    try:
-        settings = read_settings(roles[sys.argv[1]])
-    except SettingError as error:
-        print(f"shedsill: {error}", file=sys.stderr)
-        return EXIT_USAGE
-    return asyncio.run(run_node(settings))
+# asyncio works without ssl, nothing here speaks TLS, and loading OpenSSL costs
+# 15 ms of CPU at each start.
+sys.modules.setdefault("ssl", None)  # type: ignore[arg-type]
 
+from shedsill.platform.node import main  # noqa: E402
 
-if __name__ == "__main__":
-    sys.exit(main())
+sys.exit(main())
