--- a/shedsill/datagram/_balancer.py
+++ b/shedsill/datagram/_balancer.py
@@ -110,6 +110,8 @@
     offered : dict of str to int or None
         Agents that were offered the opening packet, with the sequence number
         that their upstream answered with.
+    refused : set of str
+        Agents that have handed the opening packet back.
     opening : Packet or None
         The opening packet, until an upstream has answered.
     caller_ack : int
@@ -121,6 +123,7 @@
     host: str = ""
     boot: str = ""
     offered: dict[str, int | None] = field(default_factory=dict)
+    refused: set[str] = field(default_factory=set)
     opening: Packet | None = None
     offered_at: float = 0.0
     caller_ack: int = 0
@@ -242,7 +245,7 @@
         state.nodes.list_service(flow.service),
         zone=state.report.zone,
         bulk=route.bulk,
-        without=flow.offered,
+        without=flow.offered.keys() | flow.refused,
         flow=packet.flow,
         now=now,
     )
@@ -303,6 +306,7 @@
     flow.opening = packet
     if len(flow.offered) >= MAX_OFFERS:
         flow.offered.clear()
+        flow.refused.clear()
     return _offer(state, flow, packet, route, now)
 
 
@@ -559,12 +563,9 @@
         return []
     if flow.offered.get(source, 0) is not None:
         return []
-    others = [host for host in flow.offered if host != source]
-    effects = _offer(state, flow, packet, route, now)
-    if others or any(isinstance(effect, ForwardPacket) for effect in effects):
-        return effects
     del flow.offered[source]
-    return _give_up_opening(state, flow, packet)
+    flow.refused.add(source)
+    return _offer(state, flow, packet, route, now)
 
 
 def _search_without(
--- a/shedsill/datagram/_nodes.py
+++ b/shedsill/datagram/_nodes.py
@@ -49,38 +49,44 @@
         Other balancers by host.
     listed : bool
         Whether the store has been read since the start.
+    retired : dict of int to float
+        Incarnations that have ended, and when they were replaced.
     """
 
     upstreams: dict[str, UpstreamView] = field(default_factory=dict)
     balancers: dict[str, NodeReport] = field(default_factory=dict)
     listed: bool = False
+    retired: dict[int, float] = field(default_factory=dict)
 
     def list_service(self, service: str) -> list[UpstreamView]:
         """Return the upstreams of a service."""
         return [v for v in self.upstreams.values() if v.report.service == service]
 
 
-def is_news(report: NodeReport, known: NodeReport, *, direct: bool) -> bool:
+def is_news(nodes: Nodes, report: NodeReport, known: NodeReport) -> bool:
     """Whether a report replaces the one known.
 
-    Within an incarnation the serial decides.  Incarnations are not ordered: a
-    report of another one is believed when it comes from the node itself.
+    Within an incarnation the serial decides.  Incarnations are not ordered, but
+    one that was replaced never comes back.
 
     Examples
     --------
     >>> one = NodeReport(host="a", role=Role.AGENT, zone="z", incarnation=1, serial=4)
-    >>> is_news(replace(one, serial=5), one, direct=False)
+    >>> is_news(Nodes(), replace(one, serial=5), one)
     True
-    >>> is_news(replace(one, incarnation=2, serial=0), one, direct=False)
+    >>> restarted = replace(one, incarnation=2, serial=0)
+    >>> is_news(Nodes(), restarted, one)
+    True
+    >>> is_news(Nodes(retired={1: 0.0}), one, restarted)
     False
     """
     if report.incarnation != known.incarnation:
-        return direct
+        return report.incarnation not in nodes.retired
     return report.serial > known.serial
 
 
 def merge_report(
-    nodes: Nodes, report: NodeReport, now: float, *, direct: bool, silent: bool = False
+    nodes: Nodes, report: NodeReport, now: float, *, direct: bool
 ) -> NodeReport | None:
     """Take in one report; return the one that it replaced, if any.
 
@@ -88,13 +94,10 @@
     ----------
     direct : bool
         Whether it came from the node itself rather than through the store.
-    silent : bool
-        Whether the node known by that host does not answer, so that a report
-        of another incarnation is believed whoever brings it.
     """
     if report.role == Role.BALANCER:
         known = nodes.balancers.get(report.host)
-        if known is None or is_news(report, known, direct=direct or silent):
+        if known is None or is_news(nodes, report, known):
             nodes.balancers[report.host] = report
         return known
     view = nodes.upstreams.get(report.host)
@@ -104,7 +107,10 @@
             note_heard(nodes.upstreams[report.host], now)
         return None
     before = view.report
-    if is_news(report, before, direct=direct or silent or view.lost):
+    if is_news(nodes, report, before):
+        if report.incarnation != before.incarnation:
+            nodes.retired[before.incarnation] = now
+            begin_anew(view, now)
         if not direct:
             report = replace(report, load=before.load)
         view.report = report
@@ -122,6 +128,15 @@
     view.lost = False
 
 
+def begin_anew(view: UpstreamView, now: float) -> None:
+    """Forget the silence of an agent's last incarnation; ask the new one."""
+    view.silent_since = now
+    view.asked = now - ASK_INTERVAL
+    view.questions = 0
+    view.suspect = False
+    view.lost = False
+
+
 def note_load(view: UpstreamView, load: Load, boot: str, now: float) -> None:
     """Take in the load that came with another message."""
     note_heard(view, now)
--- /dev/null
+++ b/shedsill/tests/test_datagram_flows.py
@@ -0,0 +1,282 @@
+"""Opaque flows through faults and planned steps, with the real reducers."""
+
+from __future__ import annotations
+
+import pytest
+
+from shedsill._catalogue import LogEvent
+from shedsill.datagram._messages import UpstreamState
+from shedsill.datagram._nodes import LOST_AFTER
+from shedsill.testing.datagrams import Caller, World
+
+B1, B2, B3 = "10.0.0.1", "10.0.0.2", "10.0.0.3"
+A1, A2, A3 = "10.1.0.1", "10.1.0.2", "10.1.0.3"
+OTHER = "10.2.0.1"
+
+
+@pytest.fixture
+def world() -> World:
+    """Two balancers, two upstreams of one service and one of another."""
+    world = World(services=("dispatcher", "intake"))
+    for host in (A1, A2):
+        world.add_agent(host, "dispatcher", first=True)
+    world.add_agent(OTHER, "intake", first=True)
+    for host in (B1, B2):
+        world.add_balancer(host)
+    world.run(0.2)
+    return world
+
+
+def open_flow(world: World, balancer: str = B1) -> Caller:
+    """Return a caller whose flow is open and whose request is at work."""
+    caller = world.call("dispatcher", balancer)
+    world.run(0.02)
+    assert caller.open and caller.held_by
+    return caller
+
+
+def count(world: World, event: LogEvent) -> int:
+    return sum(note.event == event for _host, note in world.notes)
+
+
+def test_a_request_is_answered(world: World) -> None:
+    caller = world.call("dispatcher", B1)
+    world.run(0.2)
+    assert caller.outcome == "answered"
+
+
+def test_each_service_gets_its_own_flows(world: World) -> None:
+    callers = [world.call(s, B1) for s in ("dispatcher", "intake") * 5]
+    world.run(0.5)
+    assert [c.outcome for c in callers] == ["answered"] * 10
+    assert len(world.upstreams[OTHER].runs) == 5
+
+
+def test_another_balancer_finds_the_flow(world: World) -> None:
+    caller = open_flow(world)
+    caller.balancer = B2
+    world.run(0.01)
+    world.send_request(caller)
+    world.run(0.01)
+    assert count(world, LogEvent.FLOW_FOUND) == 1
+    world.run(0.2)
+    assert caller.outcome == "answered"
+
+
+def test_a_restarted_balancer_finds_the_flow(world: World) -> None:
+    caller = open_flow(world)
+    world.kill(B1)
+    world.add_balancer(B1)
+    world.send_request(caller)
+    world.run(0.2)
+    assert caller.outcome == "answered"
+    assert not world.resets
+
+
+def test_a_restarted_agent_learns_its_flows_again(world: World) -> None:
+    caller = open_flow(world)
+    world.kill(caller.held_by)
+    world.run(0.05)
+    world.add_agent(caller.held_by, "dispatcher")
+    world.run(0.5)
+    assert caller.outcome == "answered"
+    assert not world.resets
+
+
+def test_all_nodes_killed_at_once_keep_living_flows(world: World) -> None:
+    caller = open_flow(world)
+    for host in (A1, A2, OTHER, B1, B2):
+        world.kill(host)
+    for host in (A1, A2):
+        world.add_agent(host, "dispatcher")
+    world.add_agent(OTHER, "intake")
+    for host in (B1, B2):
+        world.add_balancer(host)
+    world.run(1.0)
+    assert caller.outcome == "answered"
+    assert not world.resets
+
+
+def test_a_flow_of_a_crashed_upstream_is_reset(world: World) -> None:
+    caller = open_flow(world)
+    world.crash_upstream(caller.held_by)
+    world.run(1.2)
+    assert caller.outcome == "reset"
+
+
+def test_an_idle_caller_is_freed_when_the_upstream_restarts(world: World) -> None:
+    caller = open_flow(world)
+    host = caller.held_by
+    world.crash_upstream(host)
+    world.start_upstream(host, "dispatcher")
+    world._send_beat(host)
+    world.run(0.01)
+    assert caller.outcome == "reset"
+
+
+def test_balancers_free_the_flows_of_a_restarted_vm(world: World) -> None:
+    caller = open_flow(world)
+    host = caller.held_by
+    world.kill(host)
+    world.crash_upstream(host)
+    world.start_upstream(host, "dispatcher")
+    world.add_agent(host, "dispatcher")
+    world._send_beat(host)
+    world.run(0.05)
+    assert caller.outcome == "reset"
+
+
+def test_flows_of_a_silent_vm_are_given_up(world: World) -> None:
+    caller = open_flow(world)
+    world.cut.add(caller.held_by)
+    world.upstreams[caller.held_by].alive = False
+    world.run(LOST_AFTER / 2)
+    assert not caller.outcome
+    world.run(LOST_AFTER + 0.6)
+    assert caller.outcome == "reset"
+
+
+def test_a_stopping_agent_keeps_its_flows_through_a_silence(world: World) -> None:
+    caller = open_flow(world)
+    world.stop(caller.held_by)
+    world.run(0.01)
+    world.kill(caller.held_by)
+    world.run(LOST_AFTER + 0.6)
+    assert not caller.outcome
+    world.add_agent(caller.held_by, "dispatcher")
+    world.run(0.5)
+    assert caller.outcome == "answered"
+
+
+def test_an_opening_goes_on_when_its_first_upstream_is_silent(world: World) -> None:
+    world.upstreams[A1].alive = False
+    callers = [world.call("dispatcher", B1) for _ in range(6)]
+    world.run(0.3)
+    assert [c.outcome for c in callers] == ["answered"] * 6
+
+
+def test_a_refused_opening_goes_to_another_upstream_at_once(world: World) -> None:
+    world.upstreams[A1].refusing = True
+    callers = [world.call("dispatcher", B1) for _ in range(6)]
+    world.run(0.1)
+    assert [c.outcome for c in callers] == ["answered"] * 6
+
+
+def test_an_opening_that_nobody_takes_is_reset_at_once(world: World) -> None:
+    for host in (A1, A2):
+        world.upstreams[host].refusing = True
+    caller = world.call("dispatcher", B1)
+    world.run(0.1)
+    assert caller.outcome == "reset"
+    assert not any(world.upstreams[host].runs for host in (A1, A2))
+
+
+def test_no_opening_reaches_a_draining_upstream(world: World) -> None:
+    world.drain_upstream(A1)
+    callers = [world.call("dispatcher", B1) for _ in range(4)]
+    world.run(0.3)
+    assert [c.outcome for c in callers] == ["answered"] * 4
+    assert not world.upstreams[A1].offered
+    assert not world.upstreams[A1].runs
+
+
+def test_an_agent_refuses_for_a_draining_upstream_by_itself(world: World) -> None:
+    """Even a balancer that has not heard of it sends nothing to the upstream."""
+    world.cut.add(B1)
+    world.drain_upstream(A1)
+    world.run(0.01)
+    world.cut.clear()
+    assert world.nodes[B1].nodes.upstreams[A1].report.state == UpstreamState.READY
+    callers = [world.call("dispatcher", B1) for _ in range(4)]
+    world.run(0.3)
+    assert [c.outcome for c in callers] == ["answered"] * 4
+    assert not world.upstreams[A1].offered
+
+
+def test_open_flows_of_a_draining_upstream_are_served(world: World) -> None:
+    caller = open_flow(world)
+    world.drain_upstream(caller.held_by)
+    world.run(0.3)
+    assert caller.outcome == "answered"
+
+
+def test_an_address_taken_over_by_another_service_gets_nothing(world: World) -> None:
+    """The oracle raises if an opening reaches the wrong service."""
+    world.kill(A1)
+    world.crash_upstream(A1)
+    del world.upstreams[A1]
+    world.add_agent(A1, "intake", first=True)
+    callers = [world.call("dispatcher", B1) for _ in range(4)]
+    world.run(0.3)
+    assert [c.outcome for c in callers] == ["answered"] * 4
+
+
+def test_an_older_table_never_comes_back(world: World) -> None:
+    newer = world.make_table(5, without="intake")
+    world.change_table(newer, (B1,))
+    world.change_table(world.make_table(4), (B1,))
+    caller = world.call("intake", B1)
+    world.run(0.1)
+    assert caller.outcome == "reset"
+    assert world.nodes[B1].table.version == 5
+
+
+def test_a_table_spreads_without_the_store(world: World) -> None:
+    world.change_table(world.make_table(7), (B1,))
+    world.run(0.1)
+    assert world.nodes[B2].table.version == 7
+
+
+def test_flows_of_a_dropped_route_end(world: World) -> None:
+    caller = open_flow(world)
+    world.upstreams[caller.held_by].flows.clear()
+    world.change_table(world.make_table(2, without="dispatcher"), (B1,))
+    world.run(0.4)
+    assert caller.outcome == "reset"
+
+
+def test_a_stopping_balancer_still_moves_packets(world: World) -> None:
+    caller = open_flow(world)
+    world.stop(B1)
+    assert not world.nodes[B1].ready
+    world.run(0.3)
+    assert caller.outcome == "answered"
+    late = world.call("dispatcher", B1)
+    world.run(0.3)
+    assert late.outcome == "answered"
+
+
+def test_nodes_meet_without_the_store(world: World) -> None:
+    """A new agent is known to the balancers that its seeds name."""
+    world.store_up = False
+    state = world.add_agent(A3, "dispatcher", first=True)
+    state.seeds = (B1,)
+    world.run(0.1)
+    world._send_beat(A3)
+    world._carry_out(A3, [])
+    world.upstreams[A3].state = UpstreamState.DRAINING
+    world._send_beat(A3)
+    world.run(0.1)
+    assert A3 in world.nodes[B1].nodes.upstreams
+
+
+def test_a_flow_found_nowhere_is_reset_once_all_have_answered(world: World) -> None:
+    caller = open_flow(world)
+    upstream = world.upstreams[caller.held_by]
+    upstream.flows.clear()
+    world.kill(caller.held_by)
+    world.add_agent(caller.held_by, "dispatcher")
+    world.kill(B1)
+    world.add_balancer(B1)
+    world.run(0.5)
+    assert caller.outcome == "reset"
+
+
+def test_state_is_bounded_after_the_flows_have_ended(world: World) -> None:
+    for _ in range(50):
+        world.call("dispatcher", B1)
+    world.run(30.0)
+    assert not world.nodes[B1].flows
+    assert not world.nodes[B1].placing
+    assert not world.nodes[B1].searches
+    assert not world.nodes[B1].resets
