--- a/shedsill/_catalogue.py
+++ b/shedsill/_catalogue.py
@@ -109,6 +109,8 @@
     SEARCH_ENDED = Entry(607, Level.WARNING, "flow not located; some were silent")
     SEARCH_DROPPED = Entry(608, Level.WARNING, "too many flows are being located")
     FLOWS_FREED = Entry(609, Level.INFO, "flows of an ended upstream reset")
+    REQUEST_HELD = Entry(610, Level.INFO, "request held: no slot is free")
+    REQUEST_PASSED_ON = Entry(611, Level.INFO, "held request given to the upstream")
     UPSTREAM_CHANGED = Entry(620, Level.INFO, "upstream's state has changed")
     UPSTREAM_SILENT = Entry(621, Level.WARNING, "upstream does not answer")
     UPSTREAM_UNREACHED = Entry(623, Level.INFO, "upstream's port was not reached")
--- /dev/null
+++ b/shedsill/datagram/_agent_packets.py
@@ -0,0 +1,203 @@
+"""An agent's decisions on single packets, in both directions."""
+
+from __future__ import annotations
+
+from shedsill._catalogue import LogEvent
+from shedsill._shared_effects import Note
+from shedsill.datagram import _slots
+from shedsill.datagram._agent_state import (
+    AgentFlow,
+    AgentState,
+    Phase,
+    make_load,
+    note_owed,
+    return_packet,
+    set_state,
+    takes_flows,
+)
+from shedsill.datagram._effects import (
+    Effect,
+    SendMessage,
+    SendToCaller,
+    SendToUpstream,
+)
+from shedsill.datagram._events import ForwardedPacket, UpstreamPacket
+from shedsill.datagram._messages import (
+    FlowTaken,
+    Located,
+    ReturnReason,
+    UpstreamState,
+)
+from shedsill.datagram._packet import (
+    BOUNCED,
+    FIN,
+    RST,
+    SYN,
+    Packet,
+    is_opening,
+    measure_advance,
+)
+from shedsill.datagram._selection import REFUSAL_PAUSE, number_service
+
+RECEIVE_WINDOW = 76_800
+"""Octets by which an acknowledgement may be ahead of a flow's first one."""
+
+MAX_FLOWS = 50_000
+"""Flows remembered; far above the connections that one upstream may have."""
+
+
+def take_forwarded(state: AgentState, event: ForwardedPacket) -> list[Effect]:
+    """Decide whether the upstream gets a packet."""
+    packet, now = event.packet, event.now
+    state.balancers[event.balancer] = now
+    if event.service != number_service(state.report.service):
+        return return_packet(
+            state, packet, event.balancer, ReturnReason.WRONG_SERVICE, now
+        )
+    if is_opening(packet):
+        return _take_opening(state, packet, event.balancer, now)
+    flow = state.flows.get(packet.flow)
+    if flow is None:
+        return _take_unknown(state, packet, event.balancer, now)
+    if flow.phase == Phase.HALF_OPEN and not _opens(flow, packet):
+        del state.flows[packet.flow]
+        return return_packet(state, packet, event.balancer, ReturnReason.NOT_HELD, now)
+    flow.phase = Phase.OPEN
+    flow.seen = now
+    flow.balancer = event.balancer
+    flow.caller_ack = packet.ack
+    if packet.flags & (FIN | RST):
+        flow.closed = True
+    if packet.flags & RST:
+        dropped = _slots.drop_request(state, packet.flow, now)
+        return [SendToUpstream(packet, event.balancer), *dropped]
+    if packet.length:
+        return _slots.take_content(state, flow, packet, now)
+    return [SendToUpstream(packet, event.balancer)]
+
+
+def _opens(flow: AgentFlow, packet: Packet) -> bool:
+    """Whether the caller has chosen this upstream, by what it acknowledges."""
+    if flow.initial_seq is None:
+        return True
+    return measure_advance(packet.ack, flow.initial_seq) <= RECEIVE_WINDOW
+
+
+def _take_opening(
+    state: AgentState, packet: Packet, balancer: str, now: float
+) -> list[Effect]:
+    if not takes_flows(state) or now < state.refusing_until:
+        return return_packet(state, packet, balancer, ReturnReason.NOT_TAKING, now)
+    flow = state.flows.get(packet.flow)
+    if flow is None:
+        if len(state.flows) >= MAX_FLOWS:
+            return return_packet(state, packet, balancer, ReturnReason.NOT_TAKING, now)
+        flow = AgentFlow(phase=Phase.HALF_OPEN, seen=now, balancer=balancer)
+        state.flows[packet.flow] = flow
+    flow.seen = now
+    flow.balancer = balancer
+    note_owed(state, now)
+    return [SendToUpstream(packet, balancer)]
+
+
+def _take_unknown(
+    state: AgentState, packet: Packet, balancer: str, now: float
+) -> list[Effect]:
+    """Hand a packet back, or let the upstream tell whether it holds the flow."""
+    if state.complete or state.report.state == UpstreamState.GONE:
+        return return_packet(state, packet, balancer, ReturnReason.NOT_HELD, now)
+    if len(state.tried) < MAX_FLOWS:
+        state.tried[packet.flow] = balancer
+    note_owed(state, now)
+    return [SendToUpstream(packet, balancer)]
+
+
+def take_upstream_packet(state: AgentState, event: UpstreamPacket) -> list[Effect]:
+    """Pass a packet on to its caller, and learn from it."""
+    packet, now = event.packet, event.now
+    state.owed_since = None
+    effects: list[Effect] = []
+    if state.report.state == UpstreamState.UNRESPONSIVE:
+        effects += set_state(state, UpstreamState.READY, now)
+    if packet.flags & BOUNCED:
+        return effects + _take_bounced(state, packet, now)
+    flow = state.flows.get(packet.flow)
+    if packet.flags & SYN:
+        effects += _take_opening_answer(state, flow, packet, now)
+    else:
+        effects += _take_content(state, flow, packet, now)
+    effects.append(SendToCaller(packet))
+    return effects
+
+
+def _take_opening_answer(
+    state: AgentState, flow: AgentFlow | None, packet: Packet, now: float
+) -> list[Effect]:
+    if flow is None or flow.phase == Phase.OPEN:
+        return []
+    repeated = flow.initial_seq == packet.seq
+    flow.initial_seq = packet.seq
+    if repeated:
+        return []
+    taken = FlowTaken(
+        flow=packet.flow,
+        boot=state.report.boot,
+        initial_seq=packet.seq,
+        load=make_load(state, now),
+    )
+    return [SendMessage(flow.balancer, taken)]
+
+
+def _take_content(
+    state: AgentState, flow: AgentFlow | None, packet: Packet, now: float
+) -> list[Effect]:
+    effects: list[Effect] = []
+    if flow is None and packet.flags & RST:
+        state.tried.pop(packet.flow, None)
+        return effects
+    if flow is None:
+        flow = AgentFlow(phase=Phase.OPEN, seen=now, balancer="")
+        state.flows[packet.flow] = flow
+        effects += _report_found(state, packet.flow, now)
+    flow.phase = Phase.OPEN
+    flow.seen = now
+    if packet.flags & (FIN | RST):
+        flow.closed = True
+    if packet.length:
+        effects += _slots.finish_request(state, flow, now, answered=True)
+    elif flow.closed and packet.flags & (FIN | RST):
+        effects += _slots.drop_request(state, packet.flow, now)
+    return effects
+
+
+def _report_found(state: AgentState, key: bytes, now: float) -> list[Effect]:
+    """Tell a balancer that the upstream holds the flow that it asked for."""
+    balancer = state.tried.pop(key, "")
+    fields = {"flow": key, "balancer": balancer, "boot": state.report.boot}
+    note = Note(event=LogEvent.FLOW_RELEARNED, fields=fields)
+    if not balancer:
+        return [note]
+    located = Located(
+        boot=state.report.boot,
+        held=[key],
+        unknown=[],
+        unsure=[],
+        load=make_load(state, now),
+    )
+    return [note, SendMessage(balancer, located)]
+
+
+def _take_bounced(state: AgentState, packet: Packet, now: float) -> list[Effect]:
+    """Hand back what the upstream did not take; it holds no such flow."""
+    state.tried.pop(packet.flow, None)
+    flow = state.flows.get(packet.flow)
+    effects = _slots.drop_request(state, packet.flow, now)
+    state.flows.pop(packet.flow, None)
+    opening = is_opening(packet)
+    if opening:
+        state.refusing_until = now + REFUSAL_PAUSE
+    reason = ReturnReason.REFUSED if opening else ReturnReason.NOT_HELD
+    balancer = packet.balancer or (flow.balancer if flow else "")
+    if not balancer:
+        return effects
+    return effects + return_packet(state, packet, balancer, reason, now)
--- /dev/null
+++ b/shedsill/datagram/_agent_state.py
@@ -0,0 +1,227 @@
+"""What an agent keeps, and what it tells others of it."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+from msgspec import Struct, field
+from msgspec.structs import replace
+
+from shedsill._catalogue import LogEvent
+from shedsill._shared_effects import Note
+from shedsill.datagram._effects import Effect, SendMessage, StoreReport
+from shedsill.datagram._messages import (
+    Announcement,
+    Load,
+    NodeReport,
+    PacketReturned,
+    ReturnReason,
+    UpstreamState,
+)
+from shedsill.datagram._packet import RST, Packet
+
+if TYPE_CHECKING:
+    from shedsill.datagram._slots import HeldRequest
+
+AVERAGE_TIME = 1.0
+"""Time constant, in seconds, of the average of busy requests."""
+
+NEWS_LIMIT = 10.0
+"""Seconds for which a balancer that was heard of gets news directly."""
+
+
+class Phase(enum.Enum):
+    """How far a flow has come at this upstream."""
+
+    HALF_OPEN = "half open"
+    OPEN = "open"
+
+
+class AgentFlow(Struct):
+    """A flow that this upstream holds, or was offered.
+
+    Attributes
+    ----------
+    initial_seq : int or None
+        The upstream's first sequence number; None until it has answered.
+    caller_ack : int
+        What the caller expects next.
+    caller_end : int or None
+        End of the caller's content that has been passed on.
+    waiting : bool
+        Whether a request has come and no answer has begun.
+    working : bool
+        Whether the upstream was given that request.
+    balancer : str
+        Where the last packet came from.
+    """
+
+    phase: Phase
+    seen: float
+    balancer: str
+    initial_seq: int | None = None
+    caller_ack: int = 0
+    caller_end: int | None = None
+    waiting: bool = False
+    working: bool = False
+    waiting_since: float = 0.0
+    closed: bool = False
+
+
+class AgentState(Struct):
+    """Everything that an agent knows.
+
+    Attributes
+    ----------
+    report : NodeReport
+        What it says of itself and of its upstream.
+    complete : bool
+        Whether `flows` has every flow of the upstream: false while some may be
+        left from before the agent's start.
+    balancers : dict of str to float
+        When each balancer was last heard of.
+    busy : int
+        Requests that have come and are not answered.
+    working : int
+        Those of them that the upstream was given.
+    held : dict of bytes to HeldRequest
+        The others, by flow; see `shedsill.datagram._slots`.
+    cold_until : float
+        Local time at which the upstream works at full speed.
+    owed_since : float or None
+        When the first packet was passed on since the upstream's last one.
+    tried : dict of bytes to str
+        Packets of unknown flows that were given to the upstream, with the
+        balancer that sent each.
+    """
+
+    report: NodeReport
+    seeds: tuple[str, ...]
+    flow_lifetime: float
+    stop_limit: float
+    complete: bool = False
+    flows: dict[bytes, AgentFlow] = field(default_factory=dict)
+    tried: dict[bytes, str] = field(default_factory=dict)
+    balancers: dict[str, float] = field(default_factory=dict)
+    retired: set[str] = field(default_factory=set)
+    heartbeat_serial: int = 0
+    cold_until: float = 0.0
+    busy: int = 0
+    working: int = 0
+    held: dict[bytes, HeldRequest] = field(default_factory=dict)
+    average: float = 0.0
+    average_at: float = 0.0
+    refusing_until: float = 0.0
+    owed_since: float | None = None
+    checked_at: float = 0.0
+    checking: bool = False
+    started: float = 0.0
+    next_sweep: float = 0.0
+    stop_at: float | None = None
+    left: bool = False
+
+
+def takes_flows(state: AgentState) -> bool:
+    """Whether the upstream may be offered new flows.
+
+    Before its first heartbeat it may: only this agent could have confirmed
+    that it drains, and a balancer that learned of it offers it nothing.
+    """
+    known = state.report.state in (UpstreamState.READY, UpstreamState.UNKNOWN)
+    return known and state.stop_at is None
+
+
+def make_load(state: AgentState, now: float) -> Load:
+    """Return how full the upstream is now."""
+    update_average(state, now)
+    return Load(
+        busy=state.busy,
+        average=round(state.average, 2),
+        slots=state.report.load.slots,
+        flows=len(state.flows),
+        cold=round(max(state.cold_until - now, 0.0), 2),
+    )
+
+
+def update_average(state: AgentState, now: float) -> None:
+    """Bring the average of busy requests up to now."""
+    share = min((now - state.average_at) / AVERAGE_TIME, 1.0)
+    state.average += (state.busy - state.average) * share
+    state.average_at = now
+
+
+def change_busy(state: AgentState, change: int, now: float) -> None:
+    """Count requests that came or ended."""
+    update_average(state, now)
+    state.busy = max(state.busy + change, 0)
+
+
+def note_owed(state: AgentState, now: float) -> None:
+    """Note that the upstream owes a packet."""
+    if state.owed_since is None:
+        state.owed_since = now
+
+
+def return_packet(
+    state: AgentState,
+    packet: Packet,
+    balancer: str,
+    reason: ReturnReason,
+    now: float,
+) -> list[Effect]:
+    """Hand a packet back to its balancer."""
+    if packet.flags & RST:
+        return []
+    message = PacketReturned(
+        packet=packet.data,
+        boot=state.report.boot,
+        reason=reason,
+        load=make_load(state, now),
+    )
+    fields = {
+        "flow": packet.flow,
+        "reason": reason.value,
+        "state": state.report.state.value,
+        "balancer": balancer,
+        "complete": state.complete,
+    }
+    return [
+        SendMessage(balancer, message),
+        Note(event=LogEvent.PACKET_HANDED_BACK, fields=fields),
+    ]
+
+
+def set_state(state: AgentState, upstream: UpstreamState, now: float) -> list[Effect]:
+    """Note that the upstream takes new flows or no longer does."""
+    if state.report.state == upstream:
+        return []
+    state.report = replace(state.report, state=upstream)
+    return publish(state, now)
+
+
+def publish(state: AgentState, now: float) -> list[Effect]:
+    """Tell the balancers and the store what has changed."""
+    state.report = replace(
+        state.report, serial=state.report.serial + 1, load=make_load(state, now)
+    )
+    report = state.report
+    fields = {
+        "boot": report.boot,
+        "state": report.state.value,
+        "slots": report.load.slots,
+        "stopping": report.stopping,
+        "serial": report.serial,
+    }
+    effects: list[Effect] = [Note(event=LogEvent.UPSTREAM_CHANGED, fields=fields)]
+    announcement = Announcement(report=report)
+    effects += [SendMessage(h, announcement) for h in list_balancers(state, now)]
+    if report.state != UpstreamState.GONE:
+        effects.append(StoreReport(report))
+    return effects
+
+
+def list_balancers(state: AgentState, now: float) -> list[str]:
+    """Return the balancers that get news directly."""
+    recent = [h for h, at in state.balancers.items() if now - at < NEWS_LIMIT]
+    return sorted({*recent, *state.seeds})
--- /dev/null
+++ b/shedsill/datagram/_balancer_state.py
@@ -0,0 +1,111 @@
+"""What a balancer keeps of nodes, flows and the forwarding table."""
+
+from __future__ import annotations
+
+from msgspec import Struct, field
+
+from shedsill._catalogue import LogEvent
+from shedsill._shared_effects import Note
+from shedsill.datagram._effects import Effect, ForwardPacket, ResetFlow
+from shedsill.datagram._forwarding import ForwardingTable
+from shedsill.datagram._messages import NodeReport
+from shedsill.datagram._nodes import Nodes
+from shedsill.datagram._packet import Packet
+from shedsill.datagram._searches import Search
+from shedsill.datagram._selection import can_take, number_service
+
+
+class BalancerFlow(Struct):
+    """A flow as one balancer remembers it.
+
+    Attributes
+    ----------
+    host : str
+        The agent that holds it; empty until the caller has chosen one.
+    boot : str
+        The upstream's run when it took the flow.
+    offered : dict of str to int or None
+        Agents that were offered the opening packet, with the sequence number
+        that their upstream answered with.
+    refused : set of str
+        Agents that have handed the opening packet back.
+    opening : Packet or None
+        The opening packet, until an upstream has answered.
+    caller_ack : int
+        What the caller expects next, as its last packet said.
+    """
+
+    service: str
+    seen: float
+    host: str = ""
+    boot: str = ""
+    offered: dict[str, int | None] = field(default_factory=dict)
+    refused: set[str] = field(default_factory=set)
+    opening: Packet | None = None
+    offered_at: float = 0.0
+    caller_ack: int = 0
+    closed: bool = False
+
+
+class BalancerState(Struct):
+    """Everything that a balancer knows.
+
+    Attributes
+    ----------
+    report : NodeReport
+        What it says of itself.
+    placing : dict of bytes to BalancerFlow
+        The flows whose opening packet has no answer yet.
+    resets : dict of bytes to float
+        Flows that were reset lately, and when.
+    to_locate : dict of str to list of bytes
+        Flows to ask each agent for when the sockets are drained.
+    """
+
+    report: NodeReport
+    seeds: tuple[str, ...]
+    flow_lifetime: float
+    stop_limit: float
+    table: ForwardingTable = field(default_factory=ForwardingTable)
+    nodes: Nodes = field(default_factory=Nodes)
+    flows: dict[bytes, BalancerFlow] = field(default_factory=dict)
+    placing: dict[bytes, BalancerFlow] = field(default_factory=dict)
+    searches: dict[bytes, Search] = field(default_factory=dict)
+    resets: dict[bytes, float] = field(default_factory=dict)
+    to_locate: dict[str, list[bytes]] = field(default_factory=dict)
+    holding_hosts: set[str] = field(default_factory=set)
+    last_tick: float = 0.0
+    last_packet: float = 0.0
+    next_peer_exchange: float = 0.0
+    peer_exchanges: int = 0
+    next_look: float = 0.0
+    stop_at: float | None = None
+
+    @property
+    def ready(self) -> bool:
+        """Whether routers should send packets here."""
+        usable = any(can_take(v) for v in self.nodes.upstreams.values())
+        return self.table.version > 0 and usable and self.stop_at is None
+
+
+def reset_flows(
+    state: BalancerState, keys: list[bytes], host: str, reason: str
+) -> list[Effect]:
+    """Reset flows whose upstream has ended, and log why."""
+    effects: list[Effect] = []
+    for key in keys:
+        flow = state.flows.pop(key)
+        state.placing.pop(key, None)
+        if not flow.closed:
+            state.resets[key] = flow.seen
+            effects.append(ResetFlow(key, flow.caller_ack))
+    if keys:
+        fields = {"upstream": host, "flows": len(keys), "reason": reason}
+        effects.append(Note(event=LogEvent.FLOWS_FREED, fields=fields))
+    return effects
+
+
+def forward(state: BalancerState, host: str, service: str, packet: Packet) -> Effect:
+    """Return the effect that sends a caller's packet to an agent."""
+    route = state.table.routes.get(packet.endpoint)
+    return ForwardPacket(host, packet, number_service(service), route)
--- a/shedsill/datagram/_effects.py
+++ b/shedsill/datagram/_effects.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 from shedsill._shared_effects import Exit, Note
+from shedsill.datagram._forwarding import Route
 from shedsill.datagram._messages import Message, NodeReport
 from shedsill.datagram._packet import Packet
 
@@ -16,11 +17,14 @@
     ----------
     service : int
         Number of the service that is meant, see `number_service`.
+    route : Route or None
+        What the operator declared for the flow; None where it is not known.
     """
 
     host: str
     packet: Packet
     service: int
+    route: Route | None = None
 
 
 class SendToUpstream(Struct):
--- a/shedsill/datagram/_forwarding.py
+++ b/shedsill/datagram/_forwarding.py
@@ -19,6 +19,10 @@
 
     Attributes
     ----------
+    urgency : int
+        Priority among the requests of an upstream; 0 is the highest.
+    timeout : float
+        Seconds after which callers give a request up.
     bulk : bool
         Whether callers mostly send large bodies, so that the place of the
         upstream matters more than its load.
@@ -26,6 +30,8 @@
 
     name: str
     shares: tuple[ServiceShare, ...]
+    urgency: int = 0
+    timeout: float = 0.0
     bulk: bool = False
 
 
--- /dev/null
+++ b/shedsill/datagram/_locating.py
@@ -0,0 +1,190 @@
+"""How a balancer finds the upstream of a flow that it does not know.
+
+It asks every agent, many flows in one message.  An agent that cannot tell is
+given one packet: its upstream takes it or bounces it.  Once every agent has
+denied the flow, no upstream holds it, and its caller is told so.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from shedsill._catalogue import LogEvent
+from shedsill._shared_effects import Note
+from shedsill.datagram import _searches
+from shedsill.datagram._balancer_state import BalancerFlow, BalancerState, forward
+from shedsill.datagram._effects import Effect, ResetFlow, SendMessage
+from shedsill.datagram._messages import Locate, Located, ReturnReason
+from shedsill.datagram._packet import RST, Packet
+from shedsill.datagram._searches import Phase, Search
+
+
+def search(state: BalancerState, packet: Packet, now: float) -> list[Effect]:
+    """Hold a packet of an unknown flow, and ask for the flow."""
+    if packet.flags & RST:
+        return []
+    if packet.flow in state.resets:
+        return [ResetFlow(packet.flow, packet.ack)]
+    search = state.searches.get(packet.flow)
+    if search is None:
+        if len(state.searches) >= _searches.MAX_SEARCHES:
+            return [Note(event=LogEvent.SEARCH_DROPPED, fields={"flow": packet.flow})]
+        hosts = _list_answering(state)
+        state.searches[packet.flow] = _searches.begin_search(packet, hosts, now)
+        _ask(state, packet.flow, hosts)
+        return []
+    _searches.hold_packet(search, packet, now)
+    if _searches.is_due(search, now):
+        return _ask_again(state, packet.flow, search, now)
+    return conclude(state, packet.flow, search)
+
+
+def _list_answering(state: BalancerState) -> list[str]:
+    return [host for host, view in state.nodes.upstreams.items() if not view.lost]
+
+
+def _ask(state: BalancerState, flow: bytes, hosts: Iterable[str]) -> None:
+    for host in hosts:
+        state.to_locate.setdefault(host, []).append(flow)
+
+
+def _ask_again(
+    state: BalancerState, flow: bytes, search: Search, now: float
+) -> list[Effect]:
+    search.asked = now
+    if search.phase == Phase.TRYING:
+        search.phase = Phase.ASKING
+        search.waiting |= search.unsure
+        search.unsure.clear()
+    if not search.waiting:
+        search.waiting = set(_list_answering(state))
+    _ask(state, flow, search.waiting)
+    return []
+
+
+def take_located(
+    state: BalancerState, located: Located, host: str, now: float
+) -> list[Effect]:
+    """Take in what an agent says of the flows that it was asked for."""
+    effects: list[Effect] = []
+    for flow in located.held:
+        effects += _found(state, flow, host, located.boot, now)
+    for flow in located.unknown:
+        search = state.searches.get(flow)
+        if search is not None and host in search.waiting:
+            search.waiting.discard(host)
+            effects += conclude(state, flow, search)
+    for flow in located.unsure:
+        search = state.searches.get(flow)
+        if search is not None and host in search.waiting:
+            search.waiting.discard(host)
+            search.unsure.add(host)
+            effects += conclude(state, flow, search)
+    return effects
+
+
+def _found(
+    state: BalancerState, flow: bytes, host: str, boot: str, now: float
+) -> list[Effect]:
+    view = state.nodes.upstreams.get(host)
+    search = state.searches.pop(flow, None)
+    if view is None or search is None:
+        return []
+    known = BalancerFlow(service=view.report.service, seen=now, host=host, boot=boot)
+    state.flows[flow] = known
+    state.holding_hosts.add(host)
+    fields = {"flow": flow, "upstream": host, "after": round(now - search.asked, 3)}
+    effects: list[Effect] = [Note(event=LogEvent.FLOW_FOUND, fields=fields)]
+    for packet in search.packets:
+        known.caller_ack = packet.ack
+        effects.append(forward(state, host, known.service, packet))
+    return effects
+
+
+def conclude(state: BalancerState, flow: bytes, search: Search) -> list[Effect]:
+    """Act on a search that every agent has answered."""
+    if search.waiting or not search.packets:
+        return []
+    if search.phase == Phase.ASKING and search.unsure:
+        search.phase = Phase.TRYING
+        search.waiting = set(search.unsure)
+        return _try_packet(state, search, search.packets[0])
+    if not state.nodes.listed or not state.nodes.upstreams:
+        return []
+    packet = search.packets[-1]
+    del state.searches[flow]
+    state.resets[flow] = search.seen
+    fields = {"flow": flow, "asked": len(state.nodes.upstreams)}
+    return [
+        ResetFlow(flow, packet.ack),
+        Note(event=LogEvent.FLOW_ORPHANED, fields=fields),
+    ]
+
+
+def _try_packet(state: BalancerState, search: Search, packet: Packet) -> list[Effect]:
+    """Give a packet to the upstreams that may hold its flow; others bounce it."""
+    effects: list[Effect] = []
+    for host in search.waiting:
+        view = state.nodes.upstreams.get(host)
+        if view is not None:
+            effects.append(forward(state, host, view.report.service, packet))
+    return effects
+
+
+def search_without(
+    state: BalancerState,
+    packet: Packet,
+    source: str,
+    reason: ReturnReason,
+    now: float,
+) -> list[Effect]:
+    """Look for a flow whose packet an agent has handed back."""
+    search = state.searches.get(packet.flow)
+    if packet.flow in state.resets:
+        return []
+    if search is None:
+        if packet.flags & RST or len(state.searches) >= _searches.MAX_SEARCHES:
+            return []
+        hosts = [host for host in _list_answering(state) if host != source]
+        search = _searches.begin_search(packet, hosts, now)
+        state.searches[packet.flow] = search
+        _ask(state, packet.flow, hosts)
+    search.waiting.discard(source)
+    if reason == ReturnReason.WRONG_SERVICE:
+        search.unsure.discard(source)
+    return conclude(state, packet.flow, search)
+
+
+def ask_searched(state: BalancerState, now: float) -> list[Effect]:
+    """Ask again for flows not found in time; end searches that nobody needs."""
+    effects: list[Effect] = []
+    for key, search in list(state.searches.items()):
+        if _searches.is_over(search, now):
+            del state.searches[key]
+            fields = {
+                "flow": key,
+                "silent": sorted(search.waiting)[:4],
+                "known": len(state.nodes.upstreams),
+            }
+            effects.append(Note(event=LogEvent.SEARCH_ENDED, fields=fields))
+        elif _searches.is_due(search, now):
+            effects += _ask_again(state, key, search, now)
+    return effects + send_questions(state)
+
+
+def send_questions(state: BalancerState) -> list[Effect]:
+    """Send the questions that came up since the sockets were last drained."""
+    if not state.to_locate:
+        return []
+    asked, state.to_locate = state.to_locate, {}
+    return [SendMessage(host, Locate(flows=flows)) for host, flows in asked.items()]
+
+
+def drop_host(state: BalancerState, host: str) -> list[Effect]:
+    """Wait no longer for an agent's answers."""
+    effects: list[Effect] = []
+    for key, search in list(state.searches.items()):
+        search.waiting.discard(host)
+        search.unsure.discard(host)
+        effects += conclude(state, key, search)
+    return effects
--- a/shedsill/datagram/_packet.py
+++ b/shedsill/datagram/_packet.py
@@ -34,6 +34,12 @@
         other end; modulo `SEQUENCE_SPACE`.
     length : int
         Octets of content.
+    urgency : int
+        Priority of the flow's route, as its balancer says; 0 is the highest.
+    bulk : bool
+        Whether the route carries large bodies, as its balancer says.
+    timeout : float
+        Seconds after which its caller gives up, as its balancer says.
     balancer : str
         For a bounced packet, the host of the balancer that had sent it.
     """
@@ -46,6 +52,9 @@
     ack: int
     length: int
     data: bytes
+    urgency: int = 0
+    bulk: bool = False
+    timeout: float = 0.0
     balancer: str = ""
 
 
--- a/shedsill/datagram/_reducer.py
+++ b/shedsill/datagram/_reducer.py
@@ -7,9 +7,9 @@
 from __future__ import annotations
 
 from shedsill._shared_effects import Note
-from shedsill.datagram import _agent, _balancer
-from shedsill.datagram._agent import AgentState
-from shedsill.datagram._balancer import BalancerState
+from shedsill.datagram import _agent, _agent_packets, _balancer, _roster, _upstream
+from shedsill.datagram._agent_state import AgentState
+from shedsill.datagram._balancer_state import BalancerState
 from shedsill.datagram._effects import Effect
 from shedsill.datagram._events import (
     CallerPacket,
@@ -69,7 +69,7 @@
         case Tick():
             return _balancer.take_tick(state, event)
         case ReportsListed():
-            return _balancer.take_listed(state, event)
+            return _roster.take_listed(state, event)
         case TableOffered():
             return _balancer.take_table(state, event)
         case StopRequested():
@@ -81,9 +81,9 @@
 def _reduce_agent(state: AgentState, event: Event) -> list[Effect]:
     match event:
         case ForwardedPacket():
-            return _agent.take_forwarded(state, event)
+            return _agent_packets.take_forwarded(state, event)
         case UpstreamPacket():
-            return _agent.take_upstream_packet(state, event)
+            return _agent_packets.take_upstream_packet(state, event)
         case PacketsDrained():
             return []
         case MessageReceived():
@@ -91,11 +91,11 @@
         case Tick():
             return _agent.take_tick(state, event)
         case HeartbeatReceived():
-            return _agent.take_heartbeat(state, event)
+            return _upstream.take_heartbeat(state, event)
         case UpstreamLeft():
-            return _agent.take_leave(state, event)
+            return _upstream.take_leave(state, event)
         case UpstreamChecked():
-            return _agent.take_checked(state, event)
+            return _upstream.take_checked(state, event)
         case StopRequested():
             return _agent.take_stop(state, event)
         case _:
--- a/shedsill/datagram/_runtime/agent.py
+++ b/shedsill/datagram/_runtime/agent.py
@@ -8,7 +8,7 @@
 from shedsill._shared_effects import Note
 from shedsill.coordination.platform import Platform
 from shedsill.datagram import _agent
-from shedsill.datagram._agent import AgentState
+from shedsill.datagram._agent_state import AgentState, takes_flows
 from shedsill.datagram._effects import (
     CheckUpstream,
     Effect,
@@ -74,7 +74,7 @@
     @property
     def ready(self) -> bool:
         """Whether the upstream takes new flows."""
-        return _agent.takes_flows(self.state)
+        return takes_flows(self.state)
 
     def list_gauges(self) -> list[str]:
         """Return the lines of figures that go up and down."""
--- a/shedsill/datagram/_runtime/balancer.py
+++ b/shedsill/datagram/_runtime/balancer.py
@@ -19,7 +19,7 @@
 )
 from shedsill.coordination.watch import watch_changes
 from shedsill.datagram import _balancer
-from shedsill.datagram._balancer import BalancerState
+from shedsill.datagram._balancer_state import BalancerState
 from shedsill.datagram._effects import Effect, ForwardPacket, PullTable
 from shedsill.datagram._events import CallerPacket, ReportsListed, TableOffered
 from shedsill.datagram._messages import NodeReport, load_report
@@ -102,8 +102,8 @@
     def carry_out(self, effect: Effect) -> None:
         """Carry out an effect."""
         match effect:
-            case ForwardPacket(host=host, packet=packet, service=service):
-                data = self.codec.encode_forwarded(packet, service)
+            case ForwardPacket(host=host, packet=packet, service=service, route=route):
+                data = self.codec.encode_forwarded(packet, service, route)
                 self.send(self._packets, data, (host, self.settings.agent_port))
             case PullTable(host=host):
                 if not self._pulling:
--- a/shedsill/datagram/_runtime/node.py
+++ b/shedsill/datagram/_runtime/node.py
@@ -14,8 +14,8 @@
 from shedsill._catalogue import LogEvent
 from shedsill._shared_effects import Exit, Note
 from shedsill.coordination.platform import Platform, Unavailable
-from shedsill.datagram._agent import AgentState
-from shedsill.datagram._balancer import BalancerState
+from shedsill.datagram._agent_state import AgentState
+from shedsill.datagram._balancer_state import BalancerState
 from shedsill.datagram._effects import (
     CheckUpstream,
     Effect,
--- /dev/null
+++ b/shedsill/datagram/_slots.py
@@ -0,0 +1,197 @@
+"""Which request the upstream gets next when its slots are taken.
+
+An upstream works on a few requests at once and queues the rest first come,
+first served.  Once that queue is longer than callers want to wait, every request
+in it is late, the ones that have just come too.  So the agent holds requests
+back while the slots are taken, and gives the upstream the most urgent one when
+a slot is free: the higher priority first, and of one priority the latest, whose
+caller has waited the least.  None is held for longer than
+`HOLD_SHARE` of its timeout; after that the upstream's own queue has it.
+
+Only the first content of a request is held.  The rest of a flow is never
+reordered, and nothing is held on routes with large bodies, which take a slot
+only once the whole body has come.
+"""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+from shedsill._catalogue import LogEvent
+from shedsill._shared_effects import Note
+from shedsill.datagram._agent_state import (
+    AgentFlow,
+    AgentState,
+    change_busy,
+    note_owed,
+)
+from shedsill.datagram._effects import Effect, ObserveLatency, SendToUpstream
+from shedsill.datagram._packet import SEQUENCE_SPACE, Packet, measure_advance
+
+SPARE_REQUESTS = 1
+"""Requests given to the upstream beyond its slots, so that a slot that becomes
+free does not wait for the agent."""
+
+HOLD_SHARE = 0.4
+"""Share of the route's timeout for which a request is held at most, so that what
+is late still has time to be served."""
+
+WAITING_LIMIT = 4.0
+"""Seconds after which an unanswered request no longer counts: its caller has
+given up or the upstream has dropped it."""
+
+
+class HeldRequest(Struct):
+    """A request whose upstream has no free slot.
+
+    Attributes
+    ----------
+    packets : list of Packet
+        The flow's content since the request began; other packets pass.
+    since : float
+        When it came.
+    urgency : int
+        Priority of its route; 0 is the highest.
+    until : float
+        When it goes to the upstream all the same.
+    """
+
+    packets: list[Packet]
+    since: float
+    urgency: int
+    until: float
+
+
+def take_content(
+    state: AgentState, flow: AgentFlow, packet: Packet, now: float
+) -> list[Effect]:
+    """Give the upstream a packet with content, or hold it back."""
+    held = state.held.get(packet.flow)
+    if held is not None:
+        if all(packet.seq != known.seq for known in held.packets):
+            held.packets.append(packet)
+        return []
+    if _is_new(flow, packet) and not flow.waiting:
+        flow.waiting = True
+        flow.waiting_since = now
+        change_busy(state, 1, now)
+        if not packet.bulk and _is_full(state):
+            state.held[packet.flow] = HeldRequest(
+                packets=[packet],
+                since=now,
+                urgency=packet.urgency,
+                until=now + packet.timeout * HOLD_SHARE,
+            )
+            return [_note_held(state, packet)]
+        state.working += 1
+        flow.working = True
+    _note_passed(flow, packet)
+    note_owed(state, now)
+    return [SendToUpstream(packet, flow.balancer)]
+
+
+def _is_new(flow: AgentFlow, packet: Packet) -> bool:
+    """Whether a packet has content that was not passed on before."""
+    if flow.caller_end is None:
+        return True
+    advance = measure_advance(packet.seq + packet.length, flow.caller_end)
+    return 0 < advance <= SEQUENCE_SPACE // 2
+
+
+def _note_passed(flow: AgentFlow, packet: Packet) -> None:
+    if _is_new(flow, packet):
+        flow.caller_end = (packet.seq + packet.length) % SEQUENCE_SPACE
+
+
+def _is_full(state: AgentState) -> bool:
+    slots = state.report.load.slots
+    return slots > 0 and state.working >= slots + SPARE_REQUESTS
+
+
+def _note_held(state: AgentState, packet: Packet) -> Note:
+    fields = {
+        "flow": packet.flow,
+        "working": state.working,
+        "held": len(state.held),
+        "urgency": packet.urgency,
+    }
+    return Note(event=LogEvent.REQUEST_HELD, fields=fields)
+
+
+def finish_request(
+    state: AgentState, flow: AgentFlow, now: float, *, answered: bool
+) -> list[Effect]:
+    """Note that a request has its answer or has ended; pass on the next one."""
+    if not flow.waiting:
+        return []
+    flow.waiting = False
+    change_busy(state, -1, now)
+    effects: list[Effect] = []
+    if answered:
+        effects.append(ObserveLatency(now - flow.waiting_since))
+    if flow.working:
+        flow.working = False
+        state.working -= 1
+        effects += _pass_next(state, now)
+    return effects
+
+
+def _pass_next(state: AgentState, now: float) -> list[Effect]:
+    effects: list[Effect] = []
+    while state.held and not _is_full(state):
+        key = min(state.held, key=lambda k: _rank(state.held[k]))
+        effects += _pass_on(state, key, now)
+    return effects
+
+
+def _rank(held: HeldRequest) -> tuple[int, float]:
+    return held.urgency, -held.since
+
+
+def _pass_on(state: AgentState, key: bytes, now: float) -> list[Effect]:
+    held = state.held.pop(key)
+    flow = state.flows.get(key)
+    if flow is None:
+        return []
+    flow.working = True
+    state.working += 1
+    for packet in held.packets:
+        _note_passed(flow, packet)
+    note_owed(state, now)
+    fields = {
+        "flow": key,
+        "held_ms": round((now - held.since) * 1000),
+        "left": len(state.held),
+    }
+    return [
+        *(SendToUpstream(packet, flow.balancer) for packet in held.packets),
+        Note(event=LogEvent.REQUEST_PASSED_ON, fields=fields),
+    ]
+
+
+def drop_request(state: AgentState, key: bytes, now: float) -> list[Effect]:
+    """Forget the request of a flow that has ended."""
+    state.held.pop(key, None)
+    flow = state.flows.get(key)
+    if flow is None:
+        return []
+    return finish_request(state, flow, now, answered=False)
+
+
+def take_tick(state: AgentState, now: float) -> list[Effect]:
+    """Pass on what has been held for long enough; forget what is never answered."""
+    effects: list[Effect] = []
+    for key, held in list(state.held.items()):
+        if now >= held.until:
+            effects += _pass_on(state, key, now)
+    for flow in state.flows.values():
+        if flow.working and now - flow.waiting_since > WAITING_LIMIT:
+            effects += finish_request(state, flow, now, answered=False)
+    return effects
+
+
+def clear(state: AgentState, now: float) -> None:
+    """Forget every request: the upstream's run has ended."""
+    state.held.clear()
+    state.working = 0
+    change_busy(state, -state.busy, now)
--- /dev/null
+++ b/shedsill/datagram/_upstream.py
@@ -0,0 +1,138 @@
+"""How an agent follows the life of its upstream: heartbeats, silence, restarts."""
+
+from __future__ import annotations
+
+from msgspec.structs import replace
+
+from shedsill._catalogue import LogEvent
+from shedsill._shared_effects import Note
+from shedsill.datagram import _slots
+from shedsill.datagram._agent_state import (
+    AgentState,
+    Phase,
+    publish,
+    set_state,
+)
+from shedsill.datagram._effects import Effect, RemoveReport, ResetFlow
+from shedsill.datagram._events import (
+    Heartbeat,
+    HeartbeatReceived,
+    UpstreamChecked,
+    UpstreamLeft,
+)
+from shedsill.datagram._messages import UpstreamState
+
+FIRST_SERIAL = 1
+"""Number of the first heartbeat of an upstream's run."""
+
+UNANSWERED_LIMIT = 0.4
+"""Seconds without any packet of the upstream, while it owes one, after which
+its port is tried.  It acknowledges within milliseconds, and callers send again
+after 0.2 s, so two sendings have gone unanswered by then."""
+
+CHECK_INTERVAL = 0.4
+"""Seconds between tries of the port of an upstream that does not answer."""
+
+
+def take_heartbeat(state: AgentState, event: HeartbeatReceived) -> list[Effect]:
+    """Take in what the upstream says of itself."""
+    heartbeat, now = event.heartbeat, event.now
+    report = state.report
+    if heartbeat.boot in state.retired:
+        return []
+    effects: list[Effect] = []
+    if heartbeat.boot != report.boot:
+        effects += _change_boot(state, heartbeat, now)
+    elif heartbeat.serial <= state.heartbeat_serial:
+        return []
+    state.heartbeat_serial = heartbeat.serial
+    state.cold_until = now + heartbeat.cold
+    changed = (heartbeat.boot, heartbeat.state, heartbeat.slots) != (
+        report.boot,
+        report.state,
+        report.load.slots,
+    )
+    if not changed:
+        return effects
+    state.report = replace(
+        state.report,
+        state=heartbeat.state,
+        load=replace(state.report.load, slots=heartbeat.slots),
+    )
+    effects += publish(state, now)
+    fields = {"boot": heartbeat.boot, "serial": heartbeat.serial}
+    fields |= {"cold": heartbeat.cold, "complete": state.complete}
+    return [*effects, Note(event=LogEvent.HEARTBEAT_TAKEN, fields=fields)]
+
+
+def _change_boot(state: AgentState, heartbeat: Heartbeat, now: float) -> list[Effect]:
+    """Follow the upstream into a new run; the flows of the last one are gone.
+
+    The first heartbeat of a run shows that the run began under this agent, so
+    that it holds no flow from before the agent's start.
+    """
+    before = state.report.boot
+    state.report = replace(state.report, boot=heartbeat.boot)
+    state.heartbeat_serial = 0
+    if heartbeat.serial == FIRST_SERIAL:
+        state.complete = True
+    if not before:
+        return []
+    state.retired.add(before)
+    state.complete = True
+    return free_flows(state, "upstream restarted", now)
+
+
+def free_flows(state: AgentState, reason: str, now: float) -> list[Effect]:
+    """Reset every open flow: the run of the upstream that held them has ended."""
+    effects: list[Effect] = []
+    for key, flow in state.flows.items():
+        if flow.phase == Phase.OPEN and not flow.closed:
+            effects.append(ResetFlow(key, flow.caller_ack))
+    fields = {"flows": len(effects), "reason": reason, "boot": state.report.boot}
+    state.flows.clear()
+    state.tried.clear()
+    _slots.clear(state, now)
+    return [*effects, Note(event=LogEvent.FLOWS_FREED, fields=fields)]
+
+
+def take_leave(state: AgentState, event: UpstreamLeft) -> list[Effect]:
+    """Note that the upstream's run is about to end, as it said."""
+    if event.boot != state.report.boot:
+        return []
+    state.left = True
+    state.checked_at = event.now
+    return [
+        *set_state(state, UpstreamState.GONE, event.now),
+        RemoveReport(state.report),
+    ]
+
+
+def wants_check(state: AgentState, now: float) -> bool:
+    if state.checking or now - state.checked_at < CHECK_INTERVAL:
+        return False
+    if state.report.state == UpstreamState.UNRESPONSIVE or state.left:
+        return bool(state.flows) or not state.left
+    return state.owed_since is not None and now - state.owed_since > UNANSWERED_LIMIT
+
+
+def take_checked(state: AgentState, event: UpstreamChecked) -> list[Effect]:
+    """Act on whether the upstream's port takes connections."""
+    state.checking = False
+    now = event.now
+    if event.open:
+        state.owed_since = None
+        if state.report.state == UpstreamState.UNRESPONSIVE:
+            return set_state(state, UpstreamState.READY, now)
+        return []
+    if state.owed_since is None and not state.left:
+        return []
+    effects: list[Effect] = []
+    if state.report.state in (UpstreamState.READY, UpstreamState.UNKNOWN):
+        fields = {"refused": event.refused, "flows": len(state.flows)}
+        effects.append(Note(event=LogEvent.UPSTREAM_SILENT, fields=fields))
+        effects += set_state(state, UpstreamState.UNRESPONSIVE, now)
+    if event.refused:
+        state.complete = True
+        effects += free_flows(state, "upstream refuses connections", now)
+    return effects
--- a/shedsill/datagram/adapter.py
+++ b/shedsill/datagram/adapter.py
@@ -13,7 +13,7 @@
 
 from shedsill._addresses import Address
 from shedsill.datagram._events import Heartbeat, UpstreamLeft
-from shedsill.datagram._forwarding import ForwardingTable
+from shedsill.datagram._forwarding import ForwardingTable, Route
 from shedsill.datagram._messages import Role
 from shedsill.datagram._packet import Packet
 
@@ -92,7 +92,9 @@
         """Read a packet from an upstream, or one that it bounced."""
         ...
 
-    def encode_forwarded(self, packet: Packet, service: int) -> bytes:
+    def encode_forwarded(
+        self, packet: Packet, service: int, route: Route | None
+    ) -> bytes:
         """Write a caller's packet for an agent."""
         ...
 
--- a/shedsill/platform/manifest.py
+++ b/shedsill/platform/manifest.py
@@ -37,6 +37,8 @@
     host: str
     path_prefix: str
     type: str = "safe"
+    priority: int = 0
+    timeout_ms: int = 0
     service: str = ""
     backends: tuple[_Backend, ...] = ()
 
@@ -88,7 +90,12 @@
     )
     if not shares:
         shares = (ServiceShare(service=route.service),)
-    return Route(name=route.name, shares=shares, bulk=route.type == "upload")
+    return Route(
+        name=route.name,
+        shares=shares,
+        urgency=route.priority,
+        bulk=route.type == "upload",
+    )
 
 
 TABLE_SOURCE = TableSource(kind="config", name="main", decode=decode_table)
--- a/shedsill/platform/packets.py
+++ b/shedsill/platform/packets.py
@@ -4,9 +4,9 @@
 port (8, 2), destination (10, 4), destination port (14, 2), source (16, 4), echo
 (20, 4), sequence number (24, 4), acknowledgement (28, 4), sum (32, 4).
 
-The sum does not cover pad and echo, so balancers put the number of the service
-into pad, and agents put the balancer's IP number into echo, which comes back
-with a bounced packet.
+The sum does not cover pad and echo, so balancers put what the route says and the
+number of the service into pad, and agents put the balancer's IP number into
+echo, which comes back with a bounced packet.
 """
 
 from __future__ import annotations
@@ -14,6 +14,7 @@
 import socket
 import struct
 
+from shedsill.datagram._forwarding import Route
 from shedsill.datagram._packet import ACK, BOUNCED, FIN, RST, SYN, Packet
 
 __all__ = ["HeadCodec"]
@@ -26,6 +27,15 @@
 NO_PAD = bytes(5)
 NO_ECHO = bytes(4)
 
+BULK_BIT = 0x80
+URGENCY_SHIFT = 4
+MAX_URGENCY = 7
+MAX_TIMEOUT = 15
+"""In the first octet of pad, towards agents, stands what the route says of the
+flow: whether it is bulk, its urgency in 3 bits, its timeout in 4."""
+TIMEOUT_UNIT = 0.5
+"""Seconds; agents use the timeout only to bound how long they hold a request."""
+
 BOUNCED_BIT = 2
 _FLAG_BITS = {4: SYN, 128: ACK, 16: FIN, 32: RST, BOUNCED_BIT: BOUNCED}
 _FLAGS = [
@@ -56,6 +66,9 @@
         packet = self.decode_caller(data)
         if packet is None:
             return None
+        packet.bulk = bool(data[1] & BULK_BIT)
+        packet.urgency = data[1] >> URGENCY_SHIFT & MAX_URGENCY
+        packet.timeout = (data[1] & MAX_TIMEOUT) * TIMEOUT_UNIT
         return packet, SERVICE.unpack_from(data, 2)[0]
 
     def decode_upstream(self, data: bytes) -> Packet | None:
@@ -77,10 +90,12 @@
         packet.balancer = socket.inet_ntoa(data[20:24])
         return packet
 
-    def encode_forwarded(self, packet: Packet, service: int) -> bytes:
+    def encode_forwarded(
+        self, packet: Packet, service: int, route: Route | None
+    ) -> bytes:
         """Write a caller's packet for an agent."""
         data = packet.data
-        mark = b"\0" + SERVICE.pack(service)
+        mark = _mark_route(route) + SERVICE.pack(service)
         return data[:1] + mark + data[6:20] + NO_ECHO + data[24:]
 
     def encode_for_upstream(self, packet: Packet, balancer: str) -> bytes:
@@ -114,6 +129,15 @@
         return f"{caller}:{caller_port}>{service}:{service_port}"
 
 
+def _mark_route(route: Route | None) -> bytes:
+    if route is None:
+        return b"\0"
+    bulk = BULK_BIT if route.bulk else 0
+    urgency = min(route.urgency, MAX_URGENCY)
+    timeout = min(int(route.timeout / TIMEOUT_UNIT), MAX_TIMEOUT)
+    return bytes([bulk | urgency << URGENCY_SHIFT | timeout])
+
+
 def _read_numbers(data: bytes) -> tuple[int, int, int]:
     numbers = NUMBERS.unpack_from(data, 6)
     return numbers[0], numbers[6], numbers[7]
--- a/shedsill/testing/datagrams.py
+++ b/shedsill/testing/datagrams.py
@@ -18,8 +18,8 @@
 
 from shedsill._shared_effects import Note
 from shedsill.datagram import _agent, _balancer
-from shedsill.datagram._agent import AgentState
-from shedsill.datagram._balancer import BalancerState
+from shedsill.datagram._agent_state import AgentState
+from shedsill.datagram._balancer_state import BalancerState
 from shedsill.datagram._effects import (
     CheckUpstream,
     Effect,
@@ -217,7 +217,7 @@
         self.nodes[host] = state
         if host not in self.upstreams:
             self.start_upstream(host, service)
-        self._carry_out(host, _agent.start(state, self.now))
+        _agent.start(state, self.now)
         self._schedule(TICK, lambda: self._tick(host, state))
         self._schedule(LATENCY, lambda: self._beat(host))
         return state
@@ -472,7 +472,7 @@
     def _carry_out_one(self, host: str, effect: Effect) -> None:
         match effect:
             case ForwardPacket(host=agent, packet=packet, service=service):
-                data = CODEC.encode_forwarded(packet, service)
+                data = CODEC.encode_forwarded(packet, service, effect.route)
                 self._deliver(host, agent, lambda: self._forwarded(data, host))
             case SendMessage(host=other, message=message):
                 octets = encode_message(message)
--- a/shedsill/tests/test_datagram_flows.py
+++ b/shedsill/tests/test_datagram_flows.py
@@ -158,8 +158,9 @@
 def test_a_refused_opening_goes_to_another_upstream_at_once(world: World) -> None:
     world.upstreams[A1].refusing = True
     callers = [world.call("dispatcher", B1) for _ in range(6)]
-    world.run(0.1)
+    world.run(0.3)
     assert [c.outcome for c in callers] == ["answered"] * 6
+    assert all(caller.held_by == A2 for caller in callers)
 
 
 def test_an_opening_that_nobody_takes_is_reset_at_once(world: World) -> None:
--- a/shedsill/tests/test_platform_packets.py
+++ b/shedsill/tests/test_platform_packets.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from shedsill.datagram._forwarding import Route
 from shedsill.datagram._packet import ACK, BOUNCED, RST, SYN
 from shedsill.platform.packets import HEAD_LENGTH, HeadCodec
 from shedsill.testing.datagrams import check_packet, make_packet
@@ -21,6 +22,7 @@
     "00 00 00 00 00 00 00 00 00 00 00 00 00 00 00 00"
 )
 CALLER = (0x64400007, 40_001)
+ROUTE = Route(name="r", shares=(), urgency=3, bulk=True, timeout=2.0)
 SERVICE = (0xC6120001, 443)
 
 
@@ -59,9 +61,12 @@
     data = make_packet(CALLER, SERVICE, bits, seq=7, ack=9, content=content)
     packet = CODEC.decode_caller(data)
     assert packet is not None
-    forwarded = CODEC.encode_forwarded(packet, number)
+    forwarded = CODEC.encode_forwarded(packet, number, ROUTE)
     decoded = CODEC.decode_forwarded(forwarded)
     assert decoded is not None and decoded[1] == number
+    assert decoded[0].urgency == ROUTE.urgency
+    assert decoded[0].bulk == ROUTE.bulk
+    assert decoded[0].timeout == ROUTE.timeout
     given_on = CODEC.encode_for_upstream(decoded[0], "10.0.0.9")
     check_packet(given_on)
     bounced = CODEC.decode_upstream(bytes([given_on[0] | 2]) + given_on[1:])
@@ -69,7 +74,7 @@
     assert bounced.flags & BOUNCED and bounced.balancer == "10.0.0.9"
     assert bounced.flow == packet.flow
     check_packet(bounced.data)
-    again = CODEC.encode_forwarded(bounced, number)
+    again = CODEC.encode_forwarded(bounced, number, ROUTE)
     assert again == forwarded
 
 
