--- a/shedsill/platform/manifest.py
+++ b/shedsill/platform/manifest.py
@@ -94,6 +94,7 @@
         name=route.name,
         shares=shares,
         urgency=route.priority,
+        timeout=route.timeout_ms / 1000,
         bulk=route.type == "upload",
     )
 
--- /dev/null
+++ b/shedsill/tests/test_datagram_slots.py
@@ -0,0 +1,163 @@
+"""Which request an upstream gets while its slots are taken."""
+
+from __future__ import annotations
+
+import pytest
+from msgspec.structs import replace
+
+from shedsill.datagram import _slots
+from shedsill.datagram._agent_packets import take_forwarded, take_upstream_packet
+from shedsill.datagram._agent_state import AgentState
+from shedsill.datagram._effects import Effect, SendToUpstream
+from shedsill.datagram._events import ForwardedPacket, UpstreamPacket
+from shedsill.datagram._messages import Load, NodeReport, Role, UpstreamState
+from shedsill.datagram._packet import ACK, RST, SYN, Packet
+from shedsill.datagram._selection import number_service
+
+SERVICE = "dispatcher"
+SLOTS = 2
+FULL = SLOTS + _slots.SPARE_REQUESTS
+BALANCER = "10.0.0.1"
+
+
+@pytest.fixture
+def state() -> AgentState:
+    """An agent whose upstream has two slots."""
+    report = NodeReport(
+        host="10.1.0.1",
+        role=Role.AGENT,
+        zone="z",
+        incarnation=1,
+        service=SERVICE,
+        boot="i-1",
+        state=UpstreamState.READY,
+        load=Load(slots=SLOTS),
+    )
+    return AgentState(
+        report=report, seeds=(), flow_lifetime=60.0, stop_limit=5.0, complete=True
+    )
+
+
+def make_packet(flow: bytes, flags: int, **parts) -> Packet:
+    fields = {"seq": 1, "ack": 1, "length": 0, **parts}
+    return Packet(
+        flow=flow, endpoint=b"e", flags=flags, copy=0, data=flow + b"packet", **fields
+    )
+
+
+def forward(state: AgentState, packet: Packet, now: float) -> list[Effect]:
+    event = ForwardedPacket(
+        packet=packet, service=number_service(SERVICE), balancer=BALANCER, now=now
+    )
+    return take_forwarded(state, event)
+
+
+def list_sent(effects: list[Effect]) -> list[bytes]:
+    return [e.packet.flow for e in effects if isinstance(e, SendToUpstream)]
+
+
+def ask(
+    state: AgentState, flow: bytes, now: float, *, urgency: int = 1, **parts
+) -> list[bytes]:
+    """Open a flow, send a request on it, return what reached the upstream."""
+    forward(state, make_packet(flow, SYN), now)
+    answer = make_packet(flow, SYN | ACK, seq=0)
+    take_upstream_packet(state, UpstreamPacket(packet=answer, now=now))
+    parts = {"timeout": 2.0, "length": 10, **parts}
+    request = make_packet(flow, ACK, urgency=urgency, **parts)
+    return list_sent(forward(state, request, now))
+
+
+def answer(state: AgentState, flow: bytes, now: float) -> list[bytes]:
+    packet = make_packet(flow, ACK, length=5)
+    effects = take_upstream_packet(state, UpstreamPacket(packet=packet, now=now))
+    return list_sent(effects)
+
+
+def fill(state: AgentState) -> list[bytes]:
+    flows = [b"w%d" % n for n in range(FULL)]
+    assert [ask(state, flow, 1.0) for flow in flows] == [[flow] for flow in flows]
+    return flows
+
+
+def test_requests_pass_while_slots_are_free(state: AgentState) -> None:
+    fill(state)
+    assert state.working == state.busy == FULL
+
+
+def test_a_request_is_held_while_all_slots_are_taken(state: AgentState) -> None:
+    fill(state)
+    assert ask(state, b"late", 1.1) == []
+    assert state.busy == FULL + 1
+    assert state.working == FULL
+
+
+def test_the_latest_request_goes_first(state: AgentState) -> None:
+    flows = fill(state)
+    ask(state, b"a", 1.1)
+    ask(state, b"b", 1.2)
+    assert answer(state, flows[0], 1.3) == [b"b"]
+    assert answer(state, flows[1], 1.3) == [b"a"]
+
+
+def test_the_more_urgent_request_goes_first(state: AgentState) -> None:
+    flows = fill(state)
+    ask(state, b"urgent", 1.1, urgency=0)
+    ask(state, b"later", 1.2, urgency=2)
+    assert answer(state, flows[0], 1.3) == [b"urgent"]
+
+
+def test_no_request_is_held_beyond_its_share_of_the_timeout(state: AgentState) -> None:
+    fill(state)
+    ask(state, b"held", 1.0, timeout=2.0)
+    limit = 1.0 + 2.0 * _slots.HOLD_SHARE
+    assert list_sent(_slots.take_tick(state, limit - 0.01)) == []
+    assert list_sent(_slots.take_tick(state, limit + 0.01)) == [b"held"]
+
+
+def test_requests_with_large_bodies_are_not_held(state: AgentState) -> None:
+    fill(state)
+    assert ask(state, b"bulk", 1.1, bulk=True) == [b"bulk"]
+
+
+def test_a_copy_of_a_held_packet_is_not_sent_twice(state: AgentState) -> None:
+    flows = fill(state)
+    ask(state, b"held", 1.1)
+    again = make_packet(b"held", ACK, length=10, timeout=2.0)
+    assert list_sent(forward(state, again, 1.3)) == []
+    assert answer(state, flows[0], 1.4) == [b"held"]
+
+
+def test_all_held_packets_of_a_request_go_in_order(state: AgentState) -> None:
+    flows = fill(state)
+    ask(state, b"held", 1.1)
+    more = make_packet(b"held", ACK, seq=11, length=10, timeout=2.0)
+    forward(state, more, 1.1)
+    assert answer(state, flows[0], 1.4) == [b"held", b"held"]
+
+
+def test_a_packet_without_content_always_passes(state: AgentState) -> None:
+    fill(state)
+    ask(state, b"held", 1.1)
+    assert list_sent(forward(state, make_packet(b"held", ACK), 1.2)) == [b"held"]
+
+
+def test_a_held_request_of_a_flow_that_ends_is_dropped(state: AgentState) -> None:
+    flows = fill(state)
+    ask(state, b"held", 1.1)
+    forward(state, make_packet(b"held", RST), 1.2)
+    assert answer(state, flows[0], 1.3) == []
+    assert state.busy == FULL - 1
+
+
+def test_requests_that_are_never_answered_stop_counting(state: AgentState) -> None:
+    fill(state)
+    ask(state, b"held", 1.0, timeout=20.0)
+    effects = _slots.take_tick(state, 1.0 + _slots.WAITING_LIMIT + 0.1)
+    assert list_sent(effects) == [b"held"]
+
+
+def test_an_upstream_of_unknown_slots_gets_everything(state: AgentState) -> None:
+    state.report = replace(state.report, load=Load())
+    flows = [b"w%d" % n for n in range(9)]
+    assert [ask(state, flow, 1.0) for flow in flows] == [[flow] for flow in flows]
