--- a/shedsill/_catalogue.py
+++ b/shedsill/_catalogue.py
@@ -8,7 +8,7 @@
 
 import enum
 
-from attrs import frozen
+from msgspec import Struct
 
 
 class Level(enum.Enum):
@@ -21,8 +21,7 @@
     ERROR = "ERROR"
 
 
-@frozen
-class Entry:
+class Entry(Struct, frozen=True):
     """One catalogue entry."""
 
     number: int
@@ -110,10 +109,13 @@
     SEARCH_ENDED = Entry(607, Level.WARNING, "flow not located; some were silent")
     SEARCH_DROPPED = Entry(608, Level.WARNING, "too many flows are being located")
     FLOWS_FREED = Entry(609, Level.INFO, "flows of an ended upstream reset")
+    REQUEST_HELD = Entry(610, Level.INFO, "request held: no slot is free")
+    REQUEST_PASSED_ON = Entry(611, Level.INFO, "held request given to the upstream")
     UPSTREAM_CHANGED = Entry(620, Level.INFO, "upstream's state has changed")
     UPSTREAM_SILENT = Entry(621, Level.WARNING, "upstream does not answer")
     UPSTREAM_UNREACHED = Entry(623, Level.INFO, "upstream's port was not reached")
     UPSTREAM_LOST = Entry(622, Level.WARNING, "agent does not answer")
+    HEARTBEAT_TAKEN = Entry(624, Level.INFO, "heartbeat with news of the upstream")
     TABLE_APPLIED = Entry(630, Level.INFO, "forwarding table in force")
     TABLE_REJECTED = Entry(631, Level.ERROR, "forwarding table cannot be read")
     SETTINGS_READ = Entry(632, Level.INFO, "settings read again")
--- a/shedsill/datagram/_forwarding.py
+++ b/shedsill/datagram/_forwarding.py
@@ -4,23 +4,25 @@
 
 import zlib
 
-from attrs import field, frozen
+from msgspec import Struct, field
 
 
-@frozen(kw_only=True)
-class ServiceShare:
+class ServiceShare(Struct, frozen=True, kw_only=True):
     """A service and its share of a route's new flows."""
 
     service: str
     weight: int = 1
 
 
-@frozen(kw_only=True)
-class Route:
+class Route(Struct, frozen=True, kw_only=True):
     """What the operator declared for one endpoint.
 
     Attributes
     ----------
+    urgency : int
+        Priority among the requests of an upstream; 0 is the highest.
+    timeout : float
+        Seconds after which callers give a request up.
     bulk : bool
         Whether callers mostly send large bodies, so that the place of the
         upstream matters more than its load.
@@ -28,11 +30,12 @@
 
     name: str
     shares: tuple[ServiceShare, ...]
+    urgency: int = 0
+    timeout: float = 0.0
     bulk: bool = False
 
 
-@frozen(kw_only=True)
-class ForwardingTable:
+class ForwardingTable(Struct, frozen=True, kw_only=True):
     """All routes, as of one version of the operator's configuration.
 
     Attributes
@@ -48,9 +51,9 @@
     """
 
     version: int = 0
-    routes: dict[bytes, Route] = field(factory=dict)
+    routes: dict[bytes, Route] = field(default_factory=dict)
     idle_timeout: float = 60.0
-    health_paths: dict[str, str] = field(factory=dict)
+    health_paths: dict[str, str] = field(default_factory=dict)
 
 
 def choose_service(route: Route, flow: bytes) -> str:
--- a/shedsill/datagram/_nodes.py
+++ b/shedsill/datagram/_nodes.py
@@ -9,7 +9,8 @@
 
 from collections.abc import Iterable
 
-from attrs import define, evolve, field
+from msgspec import Struct, field
+from msgspec.structs import replace
 
 from shedsill.datagram._messages import Load, NodeReport, Role
 from shedsill.datagram._selection import UpstreamView
@@ -26,15 +27,18 @@
 0.1 s for which a VM out of processor quota stands still, and below the deadline
 of any request, so that callers have time for another try."""
 
-LOST_QUESTIONS = 5
+UNHEARD_LOST_AFTER = 0.5
+"""The same for an agent of which only the store has told since this balancer's
+start: most such reports are of VMs that are gone."""
+
+LOST_QUESTIONS = 3
 """Questions that must have gone unanswered by then; datagrams may be lost."""
 
 LOST_ASK_INTERVAL = 0.5
 """Seconds between questions to an agent that was given up."""
 
 
-@define
-class Nodes:
+class Nodes(Struct):
     """All nodes known to one balancer.
 
     Attributes
@@ -45,38 +49,44 @@
         Other balancers by host.
     listed : bool
         Whether the store has been read since the start.
+    retired : dict of int to float
+        Incarnations that have ended, and when they were replaced.
     """
 
-    upstreams: dict[str, UpstreamView] = field(factory=dict)
-    balancers: dict[str, NodeReport] = field(factory=dict)
+    upstreams: dict[str, UpstreamView] = field(default_factory=dict)
+    balancers: dict[str, NodeReport] = field(default_factory=dict)
     listed: bool = False
+    retired: dict[int, float] = field(default_factory=dict)
 
     def list_service(self, service: str) -> list[UpstreamView]:
         """Return the upstreams of a service."""
         return [v for v in self.upstreams.values() if v.report.service == service]
 
 
-def is_news(report: NodeReport, known: NodeReport, *, direct: bool) -> bool:
+def is_news(nodes: Nodes, report: NodeReport, known: NodeReport) -> bool:
     """Whether a report replaces the one known.
 
-    Within an incarnation the serial decides.  Incarnations are not ordered: a
-    report of another one is believed when it comes from the node itself.
+    Within an incarnation the serial decides.  Incarnations are not ordered, but
+    one that was replaced never comes back.
 
     Examples
     --------
     >>> one = NodeReport(host="a", role=Role.AGENT, zone="z", incarnation=1, serial=4)
-    >>> is_news(evolve(one, serial=5), one, direct=False)
+    >>> is_news(Nodes(), replace(one, serial=5), one)
+    True
+    >>> restarted = replace(one, incarnation=2, serial=0)
+    >>> is_news(Nodes(), restarted, one)
     True
-    >>> is_news(evolve(one, incarnation=2, serial=0), one, direct=False)
+    >>> is_news(Nodes(retired={1: 0.0}), one, restarted)
     False
     """
     if report.incarnation != known.incarnation:
-        return direct
+        return report.incarnation not in nodes.retired
     return report.serial > known.serial
 
 
 def merge_report(
-    nodes: Nodes, report: NodeReport, now: float, *, direct: bool, silent: bool = False
+    nodes: Nodes, report: NodeReport, now: float, *, direct: bool
 ) -> NodeReport | None:
     """Take in one report; return the one that it replaced, if any.
 
@@ -84,25 +94,26 @@
     ----------
     direct : bool
         Whether it came from the node itself rather than through the store.
-    silent : bool
-        Whether the node known by that host does not answer, so that a report
-        of another incarnation is believed whoever brings it.
     """
     if report.role == Role.BALANCER:
         known = nodes.balancers.get(report.host)
-        if known is None or is_news(report, known, direct=direct or silent):
+        if known is None or is_news(nodes, report, known):
             nodes.balancers[report.host] = report
         return known
     view = nodes.upstreams.get(report.host)
     if view is None:
-        nodes.upstreams[report.host] = UpstreamView(report=report, heard=now)
+        nodes.upstreams[report.host] = UpstreamView(report=report)
+        if direct:
+            note_heard(nodes.upstreams[report.host], now)
         return None
     before = view.report
-    if is_news(report, before, direct=direct or silent or view.lost):
+    if is_news(nodes, report, before):
+        if report.incarnation != before.incarnation:
+            nodes.retired[before.incarnation] = now
+            begin_anew(view, now)
         if not direct:
-            report = evolve(report, load=before.load)
+            report = replace(report, load=before.load)
         view.report = report
-        view.offered = 0
     if direct:
         note_heard(view, now)
     return before
@@ -117,18 +128,27 @@
     view.lost = False
 
 
+def begin_anew(view: UpstreamView, now: float) -> None:
+    """Forget the silence of an agent's last incarnation; ask the new one."""
+    view.silent_since = now
+    view.asked = now - ASK_INTERVAL
+    view.questions = 0
+    view.suspect = False
+    view.lost = False
+
+
 def note_load(view: UpstreamView, load: Load, boot: str, now: float) -> None:
     """Take in the load that came with another message."""
     note_heard(view, now)
-    view.offered = 0
     if boot == view.report.boot:
-        view.report = evolve(view.report, load=load)
+        view.report = replace(view.report, load=load)
 
 
 def is_due(view: UpstreamView, now: float, *, holds_flows: bool) -> bool:
     """Whether an agent has to be asked now whether it is alive."""
     if view.silent_since is None:
-        return (holds_flows or view.suspect) and now - view.heard >= SILENT_AFTER
+        wanted = holds_flows or view.suspect or not view.heard
+        return wanted and now - view.heard >= SILENT_AFTER
     interval = LOST_ASK_INTERVAL if view.lost else ASK_INTERVAL
     return now - view.asked >= interval
 
@@ -155,7 +175,8 @@
     """Whether the flows of a silent agent are to be given up now."""
     if view.lost or view.silent_since is None or view.report.stopping:
         return False
-    return now - view.silent_since >= LOST_AFTER and view.questions >= LOST_QUESTIONS
+    limit = LOST_AFTER if view.heard else UNHEARD_LOST_AFTER
+    return now - view.silent_since >= limit and view.questions >= LOST_QUESTIONS
 
 
 def shift_silences(views: Iterable[UpstreamView], pause: float) -> None:
--- a/shedsill/datagram/_packet.py
+++ b/shedsill/datagram/_packet.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from attrs import define
+from msgspec import Struct
 
 SYN = 1
 ACK = 2
@@ -14,8 +14,7 @@
 SEQUENCE_SPACE = 1 << 32
 
 
-@define(slots=True)
-class Packet:
+class Packet(Struct):
     """One packet; `data` is what is sent on, the rest was read from it.
 
     Attributes
@@ -35,6 +34,12 @@
         other end; modulo `SEQUENCE_SPACE`.
     length : int
         Octets of content.
+    urgency : int
+        Priority of the flow's route, as its balancer says; 0 is the highest.
+    bulk : bool
+        Whether the route carries large bodies, as its balancer says.
+    timeout : float
+        Seconds after which its caller gives up, as its balancer says.
     balancer : str
         For a bounced packet, the host of the balancer that had sent it.
     """
@@ -47,6 +52,9 @@
     ack: int
     length: int
     data: bytes
+    urgency: int = 0
+    bulk: bool = False
+    timeout: float = 0.0
     balancer: str = ""
 
 
--- a/shedsill/datagram/_runtime/agent.py
+++ b/shedsill/datagram/_runtime/agent.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import random
 
 from shedsill._catalogue import LogEvent
 from shedsill._shared_effects import Note
 from shedsill.coordination.platform import Platform
 from shedsill.datagram import _agent
-from shedsill.datagram._agent import AgentState
+from shedsill.datagram._agent_state import AgentState, takes_flows
 from shedsill.datagram._effects import (
     CheckUpstream,
     Effect,
@@ -26,7 +25,12 @@
 )
 from shedsill.datagram._messages import NodeReport
 from shedsill.datagram._runtime.http import Response
-from shedsill.datagram._runtime.node import HTTP_NOT_FOUND, HTTP_OK, Node
+from shedsill.datagram._runtime.node import (
+    HTTP_NOT_FOUND,
+    HTTP_OK,
+    Node,
+    draw_incarnation,
+)
 from shedsill.datagram.adapter import HeartbeatCodec, NodeSettings, PacketCodec
 from shedsill.errors import DecodeError
 
@@ -70,7 +74,7 @@
     @property
     def ready(self) -> bool:
         """Whether the upstream takes new flows."""
-        return _agent.takes_flows(self.state)
+        return takes_flows(self.state)
 
     def list_gauges(self) -> list[str]:
         """Return the lines of figures that go up and down."""
@@ -157,7 +161,7 @@
             host=settings.host,
             role=settings.role,
             zone=settings.zone,
-            incarnation=random.SystemRandom().getrandbits(48),
+            incarnation=draw_incarnation(),
             service=settings.service,
         ),
         seeds=settings.seeds,
--- a/shedsill/datagram/_runtime/balancer.py
+++ b/shedsill/datagram/_runtime/balancer.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 
 import msgspec
 
@@ -20,12 +19,17 @@
 )
 from shedsill.coordination.watch import watch_changes
 from shedsill.datagram import _balancer
-from shedsill.datagram._balancer import BalancerState
+from shedsill.datagram._balancer_state import BalancerState
 from shedsill.datagram._effects import Effect, ForwardPacket, PullTable
 from shedsill.datagram._events import CallerPacket, ReportsListed, TableOffered
 from shedsill.datagram._messages import NodeReport, load_report
 from shedsill.datagram._runtime.http import HttpClient, Response
-from shedsill.datagram._runtime.node import HTTP_NOT_FOUND, HTTP_OK, Node
+from shedsill.datagram._runtime.node import (
+    HTTP_NOT_FOUND,
+    HTTP_OK,
+    Node,
+    draw_incarnation,
+)
 from shedsill.datagram._runtime.reports import REPORT_KIND
 from shedsill.datagram.adapter import NodeSettings, PacketCodec, TableSource
 from shedsill.errors import DecodeError
@@ -98,8 +102,8 @@
     def carry_out(self, effect: Effect) -> None:
         """Carry out an effect."""
         match effect:
-            case ForwardPacket(host=host, packet=packet, service=service):
-                data = self.codec.encode_forwarded(packet, service)
+            case ForwardPacket(host=host, packet=packet, service=service, route=route):
+                data = self.codec.encode_forwarded(packet, service, route)
                 self.send(self._packets, data, (host, self.settings.agent_port))
             case PullTable(host=host):
                 if not self._pulling:
@@ -218,18 +222,16 @@
     source: TableSource,
 ) -> BalancerNode:
     """Return a balancer; call it inside the running loop."""
-    drawn = random.SystemRandom()
     state = BalancerState(
         report=NodeReport(
             host=settings.host,
             role=settings.role,
             zone=settings.zone,
-            incarnation=drawn.getrandbits(48),
+            incarnation=draw_incarnation(),
         ),
         seeds=settings.seeds,
         flow_lifetime=settings.flow_lifetime,
         stop_limit=settings.stop_limit,
-        generator=random.Random(drawn.getrandbits(48)),
     )
     return BalancerNode(
         state, settings=settings, codec=codec, platform=platform, source=source
--- a/shedsill/datagram/adapter.py
+++ b/shedsill/datagram/adapter.py
@@ -9,11 +9,11 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from attrs import frozen
+from msgspec import Struct
 
 from shedsill._addresses import Address
 from shedsill.datagram._events import Heartbeat, UpstreamLeft
-from shedsill.datagram._forwarding import ForwardingTable
+from shedsill.datagram._forwarding import ForwardingTable, Route
 from shedsill.datagram._messages import Role
 from shedsill.datagram._packet import Packet
 
@@ -25,8 +25,7 @@
 ]
 
 
-@frozen(kw_only=True)
-class NodeSettings:
+class NodeSettings(Struct, frozen=True, kw_only=True):
     """Settings of one node.
 
     Attributes
@@ -93,7 +92,9 @@
         """Read a packet from an upstream, or one that it bounced."""
         ...
 
-    def encode_forwarded(self, packet: Packet, service: int) -> bytes:
+    def encode_forwarded(
+        self, packet: Packet, service: int, route: Route | None
+    ) -> bytes:
         """Write a caller's packet for an agent."""
         ...
 
@@ -114,8 +115,7 @@
         ...
 
 
-@frozen(kw_only=True)
-class TableSource:
+class TableSource(Struct, frozen=True, kw_only=True):
     """Where the operator's forwarding table is kept, and how it is read.
 
     Attributes
--- a/shedsill/platform/manifest.py
+++ b/shedsill/platform/manifest.py
@@ -6,7 +6,7 @@
 import struct
 
 import msgspec
-from attrs import field, frozen
+from msgspec import Struct, field
 
 from shedsill.datagram._forwarding import ForwardingTable, Route, ServiceShare
 from shedsill.datagram.adapter import TableSource
@@ -15,14 +15,12 @@
 __all__ = ["TABLE_SOURCE", "decode_table"]
 
 
-@frozen(kw_only=True)
-class _Backend:
+class _Backend(Struct, frozen=True, kw_only=True):
     service: str
     weight: int
 
 
-@frozen(kw_only=True)
-class _Route:
+class _Route(Struct, frozen=True, kw_only=True):
     """One route.
 
     Attributes
@@ -39,27 +37,26 @@
     host: str
     path_prefix: str
     type: str = "safe"
+    priority: int = 0
+    timeout_ms: int = 0
     service: str = ""
     backends: tuple[_Backend, ...] = ()
 
 
-@frozen(kw_only=True)
-class _Service:
+class _Service(Struct, frozen=True, kw_only=True):
     name: str
     health_path: str = "/health"
 
 
-@frozen(kw_only=True)
-class _Limits:
+class _Limits(Struct, frozen=True, kw_only=True):
     idle_timeout_ms: int = 60_000
 
 
-@frozen(kw_only=True)
-class _Manifest:
+class _Manifest(Struct, frozen=True, kw_only=True):
     version: int
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...] = ()
-    limits: _Limits = field(factory=_Limits)
+    limits: _Limits = field(default_factory=_Limits)
 
 
 def decode_table(value: object) -> ForwardingTable:
@@ -93,7 +90,13 @@
     )
     if not shares:
         shares = (ServiceShare(service=route.service),)
-    return Route(name=route.name, shares=shares, bulk=route.type == "upload")
+    return Route(
+        name=route.name,
+        shares=shares,
+        urgency=route.priority,
+        timeout=route.timeout_ms / 1000,
+        bulk=route.type == "upload",
+    )
 
 
 TABLE_SOURCE = TableSource(kind="config", name="main", decode=decode_table)
