--- a/shedsill/datagram/_agent_packets.py
+++ b/shedsill/datagram/_agent_packets.py
@@ -158,11 +158,13 @@
     if flow is None:
         flow = AgentFlow(phase=Phase.OPEN, seen=now, balancer="")
         state.flows[packet.flow] = flow
+        flow.caller_end = packet.ack
         effects += _report_found(state, packet.flow, now)
     flow.phase = Phase.OPEN
     flow.seen = now
     if packet.flags & (FIN | RST):
         flow.closed = True
+    effects += _slots.take_acknowledgement(state, flow, packet, now)
     if packet.length:
         effects += _slots.finish_request(state, flow, now, answered=True)
     elif flow.closed and packet.flags & (FIN | RST):
--- a/shedsill/datagram/_slots.py
+++ b/shedsill/datagram/_slots.py
@@ -32,7 +32,7 @@
 """Requests given to the upstream beyond its slots, so that a slot that becomes
 free does not wait for the agent."""
 
-HOLD_SHARE = 0.4
+HOLD_SHARE = 0.45
 """Share of the route's timeout for which a request is held at most, so that what
 is late still has time to be served."""
 
@@ -118,11 +118,30 @@
     return Note(event=LogEvent.REQUEST_HELD, fields=fields)
 
 
+def take_acknowledgement(
+    state: AgentState, flow: AgentFlow, packet: Packet, now: float
+) -> list[Effect]:
+    """Drop a held request that the upstream has received in another way.
+
+    After a restart of the agent, a first copy of it may have been given to the
+    upstream before the flow was known.
+    """
+    held = state.held.get(packet.flow)
+    if held is None:
+        return []
+    last = held.packets[-1]
+    end = (last.seq + last.length) % SEQUENCE_SPACE
+    if measure_advance(packet.ack, end) > SEQUENCE_SPACE // 2:
+        return []
+    flow.caller_end = end
+    return drop_request(state, packet.flow, now)
+
+
 def finish_request(
     state: AgentState, flow: AgentFlow, now: float, *, answered: bool
 ) -> list[Effect]:
     """Note that a request has its answer or has ended; pass on the next one."""
-    if not flow.waiting:
+    if not flow.waiting or (answered and not flow.working):
         return []
     flow.waiting = False
     change_busy(state, -1, now)
--- a/shedsill/platform/packets.py
+++ b/shedsill/platform/packets.py
@@ -134,7 +134,7 @@
         return b"\0"
     bulk = BULK_BIT if route.bulk else 0
     urgency = min(route.urgency, MAX_URGENCY)
-    timeout = min(int(route.timeout / TIMEOUT_UNIT), MAX_TIMEOUT)
+    timeout = min(round(route.timeout / TIMEOUT_UNIT), MAX_TIMEOUT)
     return bytes([bulk | urgency << URGENCY_SHIFT | timeout])
 
 
--- a/shedsill/tests/test_datagram_slots.py
+++ b/shedsill/tests/test_datagram_slots.py
@@ -161,3 +161,40 @@
     state.report = replace(state.report, load=Load())
     flows = [b"w%d" % n for n in range(9)]
     assert [ask(state, flow, 1.0) for flow in flows] == [[flow] for flow in flows]
+
+
+def test_an_answer_that_comes_while_a_request_is_held_loses_no_slot(
+    state: AgentState,
+) -> None:
+    """Found on played days: slots leaked until every request was held."""
+    flows = fill(state)
+    ask(state, b"held", 1.1)
+    late = make_packet(b"held", ACK, length=5, ack=1)
+    take_upstream_packet(state, UpstreamPacket(packet=late, now=1.2))
+    assert answer(state, flows[0], 1.3) == [b"held"]
+    for flow in (*flows[1:], b"held"):
+        answer(state, flow, 1.4)
+    assert state.working == state.busy == 0
+
+
+def test_a_held_request_that_the_upstream_has_received_is_dropped(
+    state: AgentState,
+) -> None:
+    flows = fill(state)
+    ask(state, b"held", 1.1)
+    received = make_packet(b"held", ACK, ack=11)
+    take_upstream_packet(state, UpstreamPacket(packet=received, now=1.2))
+    assert not state.held
+    assert answer(state, flows[0], 1.3) == []
+
+
+def test_a_copy_of_a_request_from_before_a_restart_takes_no_slot(
+    state: AgentState,
+) -> None:
+    state.complete = False
+    request = make_packet(b"old", ACK, length=10, timeout=2.0)
+    assert list_sent(forward(state, request, 1.0)) == [b"old"]
+    received = make_packet(b"old", ACK, ack=11)
+    take_upstream_packet(state, UpstreamPacket(packet=received, now=1.1))
+    assert list_sent(forward(state, request, 1.2)) == [b"old"]
+    assert state.working == 0
