--- /dev/null
+++ b/shedsill/testing/object_store.py
@@ -0,0 +1,174 @@
+"""A stand-in for the hosting platform's object store, over HTTP.
+
+Objects are kept by kind and name with a revision, lists come in pages, watches
+carry events, and history can be forgotten.  `Faults` makes the store slow, down,
+or lose the answers of writes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from aiohttp import web
+from attrs import define, field
+
+PAGE = 500
+WATCH_STEP = 0.01
+HTTP_CONFLICT = 409
+HTTP_GONE = 410
+
+
+@define
+class Faults:
+    """Faults that can be switched on.
+
+    Attributes
+    ----------
+    delay : float
+        Seconds before each answer.
+    down : str
+        Empty, ``busy`` (503), ``reset`` or ``silent``.
+    lose_answers : int
+        Writes whose effect is kept while the answer is lost.
+    """
+
+    delay: float = 0.0
+    down: str = ""
+    lose_answers: int = 0
+
+
+@define
+class ObjectStoreStandIn:
+    """The stand-in's state and handlers; counts its calls."""
+
+    faults: Faults = field(factory=Faults)
+    page: int = PAGE
+    revision: int = 0
+    calls: int = 0
+    objects: dict[tuple[str, str], dict[str, Any]] = field(factory=dict)
+    history: list[tuple[int, str, dict[str, Any]]] = field(factory=list)
+    forgotten: int = 0
+
+    def make_app(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application(middlewares=[self._apply_faults])
+        app.router.add_get("/-/objects/{kind}", self._list_or_watch)
+        app.router.add_post("/-/objects/{kind}", self._create)
+        app.router.add_get("/-/objects/{kind}/{name}", self._get)
+        app.router.add_put("/-/objects/{kind}/{name}", self._replace)
+        app.router.add_delete("/-/objects/{kind}/{name}", self._delete)
+        return app
+
+    def write(self, kind: str, name: str, spec: Any) -> int:
+        """Write an object as the operator would; return its revision."""
+        self.revision += 1
+        meta = {"name": name, "rev": self.revision, "finalizers": []}
+        self._keep(kind, {"meta": meta, "spec": spec, "status": None})
+        return self.revision
+
+    def forget_history(self) -> None:
+        """Drop all changes; watches from before get 410."""
+        self.history.clear()
+        self.forgotten = self.revision
+
+    def _keep(self, kind: str, item: dict[str, Any]) -> None:
+        self.objects[kind, item["meta"]["name"]] = item
+        self.history.append((self.revision, kind, {"object": item, "deleted": False}))
+
+    @web.middleware
+    async def _apply_faults(self, request: web.Request, handler: Any) -> Any:
+        self.calls += 1
+        if self.faults.delay:
+            await asyncio.sleep(self.faults.delay)
+        match self.faults.down:
+            case "busy":
+                raise web.HTTPServiceUnavailable
+            case "reset":
+                _abort(request)
+            case "silent":
+                await asyncio.sleep(60)
+        response = await handler(request)
+        if request.method != "GET" and self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            _abort(request)
+        return response
+
+    async def _list_or_watch(self, request: web.Request) -> web.Response:
+        kind = request.match_info["kind"]
+        if "watch" in request.query:
+            return await self._watch(kind, request)
+        after = request.query.get("after", "")
+        names = sorted(n for k, n in self.objects if k == kind and n > after)
+        items = [self.objects[kind, name] for name in names[: self.page]]
+        body = {
+            "items": items,
+            "truncated": len(names) > self.page,
+            "current_rev": self.revision,
+        }
+        return web.json_response(body)
+
+    async def _watch(self, kind: str, request: web.Request) -> web.Response:
+        since = int(request.query["watch"])
+        end = asyncio.get_running_loop().time() + int(request.query["wait_ms"]) / 1000
+        while True:
+            if since < self.forgotten:
+                return web.json_response({}, status=HTTP_GONE)
+            events = [e for rev, k, e in self.history if k == kind and rev > since]
+            if events or asyncio.get_running_loop().time() >= end:
+                break
+            await asyncio.sleep(WATCH_STEP)
+        return web.json_response({"events": events, "current_rev": self.revision})
+
+    async def _get(self, request: web.Request) -> web.Response:
+        item = self._find(request)
+        return web.json_response(item) if item else web.json_response({}, status=404)
+
+    def _find(self, request: web.Request) -> dict[str, Any] | None:
+        return self.objects.get(
+            (request.match_info["kind"], request.match_info["name"])
+        )
+
+    async def _create(self, request: web.Request) -> web.Response:
+        kind = request.match_info["kind"]
+        body = await request.json()
+        known = self.objects.get((kind, body["meta"]["name"]))
+        if known is not None:
+            return web.json_response(known, status=HTTP_CONFLICT)
+        return self._store(kind, body)
+
+    async def _replace(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        known = self._find(request)
+        if known is None:
+            return web.json_response({}, status=404)
+        wanted = body["meta"].get("rev")
+        if wanted is not None and wanted != known["meta"]["rev"]:
+            return web.json_response(known, status=HTTP_CONFLICT)
+        if body["spec"] == known["spec"]:
+            return web.json_response(known)
+        return self._store(request.match_info["kind"], body)
+
+    def _store(self, kind: str, body: dict[str, Any]) -> web.Response:
+        self.write(kind, body["meta"]["name"], body["spec"])
+        return web.json_response(self.objects[kind, body["meta"]["name"]])
+
+    async def _delete(self, request: web.Request) -> web.Response:
+        known = self._find(request)
+        if known is None:
+            return web.json_response({}, status=404)
+        wanted = request.query.get("rev")
+        if wanted is not None and int(wanted) != known["meta"]["rev"]:
+            return web.json_response(known, status=HTTP_CONFLICT)
+        kind = request.match_info["kind"]
+        self.revision += 1
+        del self.objects[kind, known["meta"]["name"]]
+        event = {"object": known, "deleted": True}
+        self.history.append((self.revision, kind, event))
+        return web.json_response({})
+
+
+def _abort(request: web.Request) -> None:
+    assert request.transport is not None
+    request.transport.abort()
+    raise web.HTTPServiceUnavailable
--- /dev/null
+++ b/shedsill/tests/test_platform_settings.py
@@ -0,0 +1,234 @@
+"""The platform's settings file, configuration and heartbeats, decoded."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from shedsill._addresses import Address
+from shedsill.datagram._events import Heartbeat, UpstreamLeft
+from shedsill.datagram._forwarding import ServiceShare, choose_service
+from shedsill.datagram._messages import Role, UpstreamState, decode_message
+from shedsill.errors import DecodeError, SettingError
+from shedsill.platform.heartbeats import InstanceCalls
+from shedsill.platform.manifest import decode_table
+from shedsill.platform.settings import parse_settings
+
+FILE: dict[str, Any] = {
+    "node": "side-a-1",
+    "ip": "10.1.0.11",
+    "zone": "a",
+    "port_range": [7720, 7735],
+    "seeds": ["10.1.0.10:8166", "10.2.0.40:8166"],
+    "bootstrap": True,
+    "app": "10.1.0.11:8165",
+    "service": "dispatcher",
+    "unknown": {"is": "ignored"},
+    "listen": {
+        "packet_addr": "10.1.0.11:8172",
+        "outbound": "10.1.0.11:8162",
+        "ready": "10.1.0.11:8167",
+        "control": "10.1.0.11:8166",
+    },
+    "bounds": {"flow_ttl_s": 60, "grace_s": 6},
+    "platform": {"addr": "10.200.1.7:8169"},
+}
+
+
+def parse(role: Role = Role.AGENT, **changes: Any):
+    return parse_settings(json.dumps({**FILE, **changes}).encode(), role)
+
+
+def test_an_agents_settings_are_read() -> None:
+    settings = parse()
+    node = settings.node
+    assert settings.store == Address("10.200.1.7", 8169)
+    assert node.messages == Address("10.1.0.11", 7720)
+    assert node.upstream == Address("10.1.0.11", 8165)
+    assert node.seeds == ("10.1.0.10", "10.2.0.40")
+    assert node.first_start
+    assert node.stop_limit == 5.0
+
+
+def test_a_balancer_needs_no_upstream() -> None:
+    node = parse(Role.BALANCER, app="", service="").node
+    assert node.upstream is None
+
+
+@pytest.mark.parametrize(
+    ("changes", "named"),
+    [
+        ({"app": "nowhere"}, "app"),
+        ({"service": ""}, "service"),
+        ({"platform": {"addr": "10.0.0.1"}}, "platform.addr"),
+        ({"seeds": ["x"]}, "seeds"),
+        ({"port_range": "7720"}, "port_range"),
+    ],
+)
+def test_a_bad_setting_is_named_with_what_is_allowed(
+    changes: dict[str, Any], named: str
+) -> None:
+    with pytest.raises(SettingError, match=named):
+        parse(**changes)
+
+
+def test_a_node_without_settings_exits_with_2() -> None:
+    run = subprocess.run(
+        [sys.executable, "-m", "shedsill.platform", "balancer"],
+        env={"SHEDSILL_BOOT": "/nowhere", "PATH": ""},
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert run.returncode == 2
+    assert "SHEDSILL_BOOT" in run.stderr
+
+
+HEAVY = ("attr", "aiohttp", "capnp", "aioquic", "cryptography", "loguru", "ssl")
+
+
+@pytest.mark.parametrize("role", ["balancer", "agent"])
+def test_a_node_imports_only_what_it_uses(role: str) -> None:
+    """Start-up CPU and memory are budgets on the platform."""
+    script = (
+        "import sys; sys.modules['ssl'] = None\n"
+        f"import shedsill.platform.node, shedsill.datagram._runtime.{role}\n"
+        "import shedsill.platform.manifest, shedsill.platform.heartbeats\n"
+        "loaded = {name.partition('.')[0] for name in sys.modules}\n"
+        f"loaded &= set({HEAVY!r}) - {{'ssl'}}\n"
+        "print(sorted(loaded))"
+    )
+    run = subprocess.run(
+        [sys.executable, "-c", script], capture_output=True, text=True, check=True
+    )
+    # The editable install of a development tree may load some itself.
+    bare = subprocess.run(
+        [
+            sys.executable,
+            "-c",
+            "import sys; print(sorted({n.partition('.')[0] for n in sys.modules}))",
+        ],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    extra = set(json.loads(run.stdout.replace("'", '"')))
+    assert not extra - set(json.loads(bare.stdout.replace("'", '"')))
+
+
+ROUTE = {"name": "r", "host": "198.18.0.1", "path_prefix": "/443/", "service": "a"}
+
+
+def test_a_configuration_is_read() -> None:
+    weighted = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
+    table = decode_table(
+        {
+            "version": 7,
+            "routes": [
+                {**ROUTE, "type": "upload", "priority": 2, "timeout_ms": 5000},
+                {
+                    "name": "w",
+                    "host": "198.18.0.1",
+                    "path_prefix": "/80/",
+                    "backends": weighted,
+                },
+            ],
+            "services": [{"name": "a", "health_path": "/health", "max_conns": 9}],
+            "limits": {"idle_timeout_ms": 15000, "max_body_bytes": 1},
+        }
+    )
+    upload = table.routes[bytes.fromhex("c612000101bb")]
+    assert (table.version, table.idle_timeout) == (7, 15.0)
+    assert (upload.bulk, upload.urgency, upload.timeout) == (True, 2, 5.0)
+    assert upload.shares == (ServiceShare(service="a"),)
+    split = table.routes[bytes.fromhex("c61200010050")]
+    chosen = [choose_service(split, bytes([n, 7, n])) for n in range(250)]
+    assert 200 <= chosen.count("a") < 250
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        None,
+        {},
+        {"version": "x", "routes": []},
+        {"version": 1, "routes": [{**ROUTE, "host": "no.number"}]},
+        {"version": 1, "routes": [{**ROUTE, "path_prefix": "/http/"}]},
+        {"version": 1, "routes": [{**ROUTE, "path_prefix": "/70000/"}]},
+    ],
+)
+def test_an_unusable_configuration_is_refused(value: object) -> None:
+    with pytest.raises(DecodeError):
+        decode_table(value)
+
+
+BEAT = {
+    "service": "a",
+    "addr": "10.0.0.1:1",
+    "slots": 4,
+    "state": "draining",
+    "seq": 9,
+    "cold_left_ms": 1500,
+}
+
+
+def test_heartbeats_and_leaves_are_read() -> None:
+    calls = InstanceCalls()
+    beat = calls.decode_call("PUT", "/-/instances/i-1", json.dumps(BEAT).encode(), 5.0)
+    assert beat == Heartbeat(
+        boot="i-1", serial=9, state=UpstreamState.DRAINING, slots=4, cold=1.5
+    )
+    left = calls.decode_call("DELETE", "/-/instances/i-1", b"", 5.0)
+    assert left == UpstreamLeft(boot="i-1", now=5.0)
+    assert calls.decode_call("GET", "/-/instances/i-1", b"", 5.0) is None
+    assert calls.decode_call("PUT", "/elsewhere", b"{}", 5.0) is None
+
+
+@given(st.binary(max_size=200))
+def test_any_heartbeat_body_is_read_or_refused(body: bytes) -> None:
+    try:
+        InstanceCalls().decode_call("PUT", "/-/instances/i-1", body, 5.0)
+    except DecodeError:
+        return
+
+
+@given(st.binary(max_size=200))
+def test_any_settings_are_read_or_refused(text: bytes) -> None:
+    try:
+        parse_settings(text, Role.AGENT)
+    except SettingError:
+        return
+
+
+@given(st.binary(max_size=200))
+def test_any_message_is_read_or_refused(octets: bytes) -> None:
+    try:
+        decode_message(octets)
+    except DecodeError:
+        return
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(["version", "routes", "limits", "host", "x"]), inner
+        )
+    ),
+    max_leaves=12,
+)
+
+
+@given(JSON)
+def test_any_configuration_is_read_or_refused(value: object) -> None:
+    try:
+        decode_table(value)
+    except DecodeError:
+        return
--- /dev/null
+++ b/shedsill/tests/test_platform_store.py
@@ -0,0 +1,222 @@
+"""The client of the platform's object store, against a stand-in over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+from aiohttp import web
+
+from shedsill._addresses import Address
+from shedsill.coordination.platform import (
+    Changed,
+    Conflict,
+    Delete,
+    Found,
+    Get,
+    HistoryGone,
+    List,
+    Listing,
+    ListMachines,
+    Outcome,
+    Put,
+    Stored,
+    Unavailable,
+    Watch,
+)
+from shedsill.coordination.watch import watch_changes
+from shedsill.datagram._messages import NodeReport, Role, dump_report
+from shedsill.datagram._runtime.reports import REPORT_KIND, ReportWriter
+from shedsill.platform import store as store_module
+from shedsill.platform.store import ObjectStore
+from shedsill.testing.object_store import ObjectStoreStandIn
+from shedsill.testing.ports import find_ports
+
+Scenario = Callable[[ObjectStoreStandIn, ObjectStore], Awaitable[None]]
+KIND = "things"
+
+
+def play(scenario: Scenario) -> None:
+    """Run a scenario against a stand-in of its own."""
+
+    async def run() -> None:
+        stand_in = ObjectStoreStandIn()
+        runner = web.AppRunner(stand_in.make_app(), shutdown_timeout=0.1)
+        await runner.setup()
+        port = find_ports(1)[0]
+        await web.TCPSite(runner, "127.0.0.1", port).start()
+        try:
+            await scenario(stand_in, ObjectStore(Address("127.0.0.1", port)))
+        finally:
+            await runner.cleanup()
+
+    asyncio.run(run())
+
+
+async def put(store: ObjectStore, name: str, expected: int = 0) -> Outcome:
+    call = Put(kind=KIND, name=name, value={"n": name}, expected=expected)
+    return await store.call(call)
+
+
+def test_an_object_is_created_read_changed_and_deleted() -> None:
+    async def scenario(stand_in: ObjectStoreStandIn, store: ObjectStore) -> None:
+        assert await put(store, "a") == Stored(version=1)
+        found = await store.call(Get(kind=KIND, name="a"))
+        assert isinstance(found, Found) and found.object is not None
+        assert (found.object.value, found.object.version) == ({"n": "a"}, 1)
+        change = Put(kind=KIND, name="a", value={"n": 2}, expected=1)
+        assert await store.call(change) == Stored(version=2)
+        deleted = await store.call(Delete(kind=KIND, name="a", expected=2))
+        assert isinstance(deleted, Stored)
+        assert await store.call(Get(kind=KIND, name="a")) == Found(object=None)
+
+    play(scenario)
+
+
+def test_a_write_over_another_version_is_a_conflict() -> None:
+    async def scenario(stand_in: ObjectStoreStandIn, store: ObjectStore) -> None:
+        await put(store, "a")
+        outcome = await put(store, "a")
+        assert isinstance(outcome, Conflict)
+        assert outcome.current is not None and outcome.current.version == 1
+        gone = await store.call(Delete(kind=KIND, name="b", expected=0))
+        assert gone == Conflict(current=None)
+
+    play(scenario)
+
+
+def test_long_lists_come_whole() -> None:
+    async def scenario(stand_in: ObjectStoreStandIn, store: ObjectStore) -> None:
+        stand_in.page = 3
+        for number in range(8):
+            stand_in.write(KIND, f"o{number}", {"n": number})
+        listing = await store.call(List(kinds=(KIND,)))
+        assert isinstance(listing, Listing)
+        assert [o.value["n"] for o in listing.objects] == list(range(8))
+        assert listing.revision == 8
+
+    play(scenario)
+
+
+def test_a_watch_carries_what_has_changed() -> None:
+    async def scenario(stand_in: ObjectStoreStandIn, store: ObjectStore) -> None:
+        await put(store, "a")
+        await put(store, "b")
+        await store.call(Delete(kind=KIND, name="a", expected=1))
+        changed = await store.call(Watch(kinds=(KIND,), revision=0, patience=1.0))
+        assert isinstance(changed, Changed)
+        assert [o.name for o in changed.objects] == ["b"]
+        assert changed.deleted == ("a",)
+        idle = Watch(kinds=(KIND,), revision=changed.revision, patience=0.05)
+        assert await store.call(idle) == Changed(names=(), revision=3)
+
+    play(scenario)
+
+
+def test_a_watch_from_forgotten_history_says_so() -> None:
+    async def scenario(stand_in: ObjectStoreStandIn, store: ObjectStore) -> None:
+        await put(store, "a")
+        stand_in.forget_history()
+        watch = Watch(kinds=(KIND,), revision=0, patience=1.0)
+        assert await store.call(watch) == HistoryGone()
+
+    play(scenario)
+
+
+def test_a_watch_of_changes_lists_again_where_history_is_gone() -> None:
+    async def scenario(stand_in: ObjectStoreStandIn, store: ObjectStore) -> None:
+        await put(store, "a")
+        outcomes = watch_changes(store, KIND, sleep=asyncio.sleep, patience=0.05)
+        assert isinstance(await anext(outcomes), Listing)
+        await put(store, "b")
+        stand_in.forget_history()
+        listing = await anext(outcomes)
+        assert isinstance(listing, Listing) and len(listing.objects) == 2
+        await outcomes.aclose()
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("down", ["busy", "reset", "silent"])
+def test_a_store_that_is_down_is_a_value(
+    down: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(store_module, "CALL_TIMEOUT", 0.1)
+
+    async def scenario(stand_in: ObjectStoreStandIn, store: ObjectStore) -> None:
+        stand_in.faults.down = down
+        assert isinstance(await store.call(Get(kind=KIND, name="a")), Unavailable)
+        stand_in.faults.down = ""
+        assert await store.call(Get(kind=KIND, name="a")) == Found(object=None)
+
+    play(scenario)
+
+
+def test_a_lost_answer_may_have_taken_effect() -> None:
+    async def scenario(stand_in: ObjectStoreStandIn, store: ObjectStore) -> None:
+        stand_in.faults.lose_answers = 1
+        outcome = await put(store, "a")
+        assert isinstance(outcome, Unavailable) and outcome.perhaps_applied
+        assert (KIND, "a") in stand_in.objects
+
+    play(scenario)
+
+
+def test_calls_that_the_platform_lacks_are_values() -> None:
+    async def scenario(stand_in: ObjectStoreStandIn, store: ObjectStore) -> None:
+        assert isinstance(await store.call(ListMachines()), Unavailable)
+        assert isinstance(await store.call(List(kinds=("a", "b"))), Unavailable)
+        assert stand_in.calls == 0
+
+    play(scenario)
+
+
+REPORT = NodeReport(host="10.1.0.1", role=Role.AGENT, zone="z", incarnation=1)
+
+
+async def settle(writer: ReportWriter) -> None:
+    for _ in range(300):
+        if writer.wanted is None:
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError("the report was not written in time")
+
+
+def make_writer(store: ObjectStore) -> tuple[ReportWriter, Callable]:
+    writer = ReportWriter(platform=store, write_note=lambda note: None)
+    tasks = set()
+
+    def run_beside(coroutine) -> None:
+        tasks.add(asyncio.get_running_loop().create_task(coroutine))
+
+    return writer, run_beside
+
+
+def test_a_report_replaces_one_of_an_earlier_run() -> None:
+    async def scenario(stand_in: ObjectStoreStandIn, store: ObjectStore) -> None:
+        stand_in.write(REPORT_KIND, REPORT.host, {"old": True})
+        writer, run_beside = make_writer(store)
+        writer.store(REPORT, run_beside)
+        await settle(writer)
+        kept = stand_in.objects[REPORT_KIND, REPORT.host]
+        assert kept["spec"] == dump_report(REPORT)
+
+    play(scenario)
+
+
+def test_a_report_is_stored_again_after_a_lost_answer_and_an_outage() -> None:
+    async def scenario(stand_in: ObjectStoreStandIn, store: ObjectStore) -> None:
+        writer, run_beside = make_writer(store)
+        stand_in.faults.lose_answers = 1
+        writer.store(REPORT, run_beside)
+        await settle(writer)
+        stand_in.faults.down = "busy"
+        writer.remove(REPORT, run_beside)
+        await asyncio.sleep(0.2)
+        assert (REPORT_KIND, REPORT.host) in stand_in.objects
+        stand_in.faults.down = ""
+        await settle(writer)
+        assert (REPORT_KIND, REPORT.host) not in stand_in.objects
+
+    play(scenario)
