--- a/shedsill/_catalogue.py
+++ b/shedsill/_catalogue.py
@@ -116,6 +116,7 @@
     UPSTREAM_UNREACHED = Entry(623, Level.INFO, "upstream's port was not reached")
     UPSTREAM_LOST = Entry(622, Level.WARNING, "agent does not answer")
     HEARTBEAT_TAKEN = Entry(624, Level.INFO, "heartbeat with news of the upstream")
+    BALANCER_ISOLATED = Entry(625, Level.WARNING, "most agents are silent to this VM")
     TABLE_APPLIED = Entry(630, Level.INFO, "forwarding table in force")
     TABLE_REJECTED = Entry(631, Level.ERROR, "forwarding table cannot be read")
     SETTINGS_READ = Entry(632, Level.INFO, "settings read again")
--- a/shedsill/datagram/_balancer.py
+++ b/shedsill/datagram/_balancer.py
@@ -55,13 +55,16 @@
 PEER_INTERVAL = 1.0
 """Seconds between exchanges of table versions with another balancer."""
 
+REPORTS_PER_MESSAGE = 6
+"""Reports in one message; about 170 octets each, so that they fit a packet."""
+
 LOOK_AFTER_FLOWS = 0.25
 """Seconds between looks at which agents hold flows of this balancer."""
 
 
 def start(state: BalancerState, now: float) -> list[Effect]:
     """Make this balancer known, and ask the seeds for the nodes they know."""
-    state.last_tick = state.last_packet = now
+    state.started = state.last_tick = state.last_packet = now
     effects: list[Effect] = [StoreReport(state.report)]
     effects += [
         SendMessage(seed, Probe(report=state.report))
@@ -128,8 +131,10 @@
         case Probe(report=report):
             effects = _roster.take_report(state, report, now)
             return [*effects, *_answer_probe(state, source)]
-        case Roster(reports=reports):
-            return _roster.take_reports(state, reports, now)
+        case Roster(reports=reports, last=last):
+            effects = _roster.take_reports(state, reports, now)
+            state.introduced = state.introduced or last
+            return effects
         case FlowTaken():
             _note_load(state, source, message, now)
             return _openings.take_taken(state, message, source, now)
@@ -146,9 +151,16 @@
 def _answer_probe(state: BalancerState, source: str) -> list[Effect]:
     reports = [v.report for v in state.nodes.upstreams.values() if not v.lost]
     reports += state.nodes.balancers.values()
+    chunks = [
+        reports[start : start + REPORTS_PER_MESSAGE]
+        for start in range(0, max(len(reports), 1), REPORTS_PER_MESSAGE)
+    ]
     return [
         SendMessage(source, Announcement(report=state.report)),
-        SendMessage(source, Roster(reports=reports)),
+        *(
+            SendMessage(source, Roster(reports=chunk, last=chunk is chunks[-1]))
+            for chunk in chunks
+        ),
     ]
 
 
@@ -223,6 +235,7 @@
     effects += _locating.ask_searched(state, now)
     effects += _look_after_flows(state, now)
     effects += _roster.ask_silent(state, now)
+    effects += _roster.forget_lost(state, now)
     effects += _exchange_with_peers(state, now)
     effects += _finish_stop(state, now)
     return effects
--- a/shedsill/datagram/_balancer_state.py
+++ b/shedsill/datagram/_balancer_state.py
@@ -56,6 +56,10 @@
         What it says of itself.
     placing : dict of bytes to BalancerFlow
         The flows whose opening packet has no answer yet.
+    started : float
+        When this balancer started.
+    introduced : bool
+        Whether another balancer has told which nodes it knows.
     resets : dict of bytes to float
         Flows that were reset lately, and when.
     to_locate : dict of str to list of bytes
@@ -71,6 +75,8 @@
     flows: dict[bytes, BalancerFlow] = field(default_factory=dict)
     placing: dict[bytes, BalancerFlow] = field(default_factory=dict)
     searches: dict[bytes, Search] = field(default_factory=dict)
+    started: float = 0.0
+    introduced: bool = False
     resets: dict[bytes, float] = field(default_factory=dict)
     to_locate: dict[str, list[bytes]] = field(default_factory=dict)
     holding_hosts: set[str] = field(default_factory=set)
--- a/shedsill/datagram/_effects.py
+++ b/shedsill/datagram/_effects.py
@@ -78,6 +78,12 @@
     report: NodeReport
 
 
+class ForgetReport(Struct, frozen=True):
+    """Remove another node's report from the store if it is still this one."""
+
+    report: NodeReport
+
+
 class CheckUpstream(Struct, frozen=True):
     """Try a connection to the upstream's port."""
 
@@ -102,6 +108,7 @@
     | SendMessage
     | StoreReport
     | RemoveReport
+    | ForgetReport
     | CheckUpstream
     | PullTable
     | ObserveLatency
--- a/shedsill/datagram/_locating.py
+++ b/shedsill/datagram/_locating.py
@@ -18,6 +18,9 @@
 from shedsill.datagram._packet import RST, Packet
 from shedsill.datagram._searches import Phase, Search
 
+INTRODUCTION_LIMIT = 0.5
+"""Seconds in which other balancers tell a new one which nodes they know."""
+
 
 def search(state: BalancerState, packet: Packet, now: float) -> list[Effect]:
     """Hold a packet of an unknown flow, and ask for the flow."""
@@ -109,7 +112,7 @@
         search.phase = Phase.TRYING
         search.waiting = set(search.unsure)
         return _try_packet(state, search, search.packets[0])
-    if not state.nodes.listed or not state.nodes.upstreams:
+    if not _knows_all(state, search.seen):
         return []
     packet = search.packets[-1]
     del state.searches[flow]
@@ -121,6 +124,16 @@
     ]
 
 
+def _knows_all(state: BalancerState, now: float) -> bool:
+    """Whether no agent is likely to be missing among those that were asked."""
+    nodes = state.nodes
+    if not nodes.upstreams or not (nodes.listed or state.introduced):
+        return False
+    alone = not nodes.balancers
+    late = now - state.started > INTRODUCTION_LIMIT
+    return state.introduced or alone or late
+
+
 def _try_packet(state: BalancerState, search: Search, packet: Packet) -> list[Effect]:
     """Give a packet to the upstreams that may hold its flow; others bounce it."""
     effects: list[Effect] = []
@@ -180,6 +193,13 @@
     return [SendMessage(host, Locate(flows=flows)) for host, flows in asked.items()]
 
 
+def add_host(state: BalancerState, host: str) -> None:
+    """Ask an agent that has just become known for the flows searched for."""
+    for key, search in state.searches.items():
+        search.waiting.add(host)
+        _ask(state, key, (host,))
+
+
 def drop_host(state: BalancerState, host: str) -> list[Effect]:
     """Wait no longer for an agent's answers."""
     effects: list[Effect] = []
--- a/shedsill/datagram/_messages.py
+++ b/shedsill/datagram/_messages.py
@@ -103,9 +103,16 @@
 
 
 class Roster(Struct, frozen=True, kw_only=True):
-    """The nodes that a balancer knows, for one that has just started."""
+    """Nodes that a balancer knows, for one that has just started.
+
+    Attributes
+    ----------
+    last : bool
+        Whether no more messages of this kind follow.
+    """
 
     reports: list[NodeReport]
+    last: bool
 
 
 class FlowTaken(Struct, frozen=True, kw_only=True):
--- a/shedsill/datagram/_nodes.py
+++ b/shedsill/datagram/_nodes.py
@@ -34,6 +34,10 @@
 LOST_QUESTIONS = 3
 """Questions that must have gone unanswered by then; datagrams may be lost."""
 
+ISOLATION_SHARE = 0.5
+"""Share of silent agents from which on the silence is put down to this balancer's
+own VM or link; a balancer that is cut off or choked hears from none."""
+
 LOST_ASK_INTERVAL = 0.5
 """Seconds between questions to an agent that was given up."""
 
@@ -144,10 +148,17 @@
         view.report = replace(view.report, load=load)
 
 
-def is_due(view: UpstreamView, now: float, *, holds_flows: bool) -> bool:
-    """Whether an agent has to be asked now whether it is alive."""
+def is_due(view: UpstreamView, now: float, *, wanted: bool) -> bool:
+    """Whether an agent has to be asked now whether it is alive.
+
+    Parameters
+    ----------
+    wanted : bool
+        Whether anything depends on it: it holds flows of this balancer, or
+        another agent is silent and this one shows whose fault that is.
+    """
     if view.silent_since is None:
-        wanted = holds_flows or view.suspect or not view.heard
+        wanted = wanted or view.suspect or not view.heard
         return wanted and now - view.heard >= SILENT_AFTER
     interval = LOST_ASK_INTERVAL if view.lost else ASK_INTERVAL
     return now - view.asked >= interval
@@ -179,6 +190,19 @@
     return now - view.silent_since >= limit and view.questions >= LOST_QUESTIONS
 
 
+def is_isolated(views: Iterable[UpstreamView], now: float) -> bool:
+    """Whether so many agents are silent that it must be this balancer's doing."""
+    silent = heard = 0
+    for view in views:
+        if view.lost:
+            continue
+        if view.silent_since is not None and view.questions > 1:
+            silent += 1
+        elif view.heard and now - view.heard < LOST_AFTER:
+            heard += 1
+    return silent > ISOLATION_SHARE * (silent + heard)
+
+
 def shift_silences(views: Iterable[UpstreamView], pause: float) -> None:
     """Take back the silence that was this node's own: it did not run meanwhile."""
     for view in views:
--- a/shedsill/datagram/_roster.py
+++ b/shedsill/datagram/_roster.py
@@ -8,11 +8,23 @@
 from shedsill._shared_effects import Note
 from shedsill.datagram import _locating, _nodes
 from shedsill.datagram._balancer_state import BalancerState, reset_flows
-from shedsill.datagram._effects import Effect, PullTable, SendMessage
+from shedsill.datagram._effects import (
+    Effect,
+    ForgetReport,
+    PullTable,
+    SendMessage,
+)
 from shedsill.datagram._events import ReportsListed
 from shedsill.datagram._messages import NodeReport, Probe, Role
 from shedsill.datagram._selection import UpstreamView
 
+INTRODUCTIONS = 3
+"""Other balancers that one asks for the nodes they know when it starts."""
+
+FORGET_LOST_AFTER = 20.0
+"""Seconds after which a lost agent's report is removed from the store; a VM that
+is down or cut off for less keeps its place."""
+
 
 def take_report(state: BalancerState, report: NodeReport, now: float) -> list[Effect]:
     """Take in what a node says of itself."""
@@ -63,6 +75,8 @@
         "serial": report.serial,
     }
     effects: list[Effect] = [Note(event=LogEvent.UPSTREAM_CHANGED, fields=fields)]
+    if before is None:
+        _locating.add_host(state, report.host)
     if before is not None and report.boot and before.boot != report.boot:
         effects += _free_flows(state, report.host, report.boot, now)
     return effects
@@ -90,8 +104,36 @@
         if view is not None and (view.suspect or view.lost):
             effects += _forget_upstream(state, host)
         state.nodes.balancers.pop(host, None)
-    if event.whole:
+    if event.whole and not state.nodes.listed:
         state.nodes.listed = True
+        effects += _introduce(state)
+    return effects
+
+
+def _introduce(state: BalancerState) -> list[Effect]:
+    """Ask a few other balancers for the nodes that they know.
+
+    Agents that the store turns away are known to balancers that they have
+    spoken with, but not from the store.
+    """
+    others = sorted(state.nodes.balancers)[:INTRODUCTIONS]
+    return [SendMessage(host, Probe(report=state.report)) for host in others]
+
+
+def forget_lost(state: BalancerState, now: float) -> list[Effect]:
+    """Remove what is left of VMs that have been gone for long.
+
+    One balancer does so, the first one known by host, so that it costs few
+    calls; another one takes over when that is gone.
+    """
+    effects: list[Effect] = []
+    first = min([state.report.host, *state.nodes.balancers]) == state.report.host
+    for host, view in list(state.nodes.upstreams.items()):
+        if not view.lost or now - view.lost_at < FORGET_LOST_AFTER:
+            continue
+        if first:
+            effects.append(ForgetReport(view.report))
+        effects += _forget_upstream(state, host)
     return effects
 
 
@@ -106,21 +148,34 @@
     """Ask agents that have been silent; give up those that stay so."""
     effects: list[Effect] = []
     probe = Probe(report=state.report)
+    views = state.nodes.upstreams.values()
+    doubt = any(v.silent_since is not None and not v.lost for v in views)
     for host, view in state.nodes.upstreams.items():
-        holds = host in state.holding_hosts
-        if _nodes.is_due(view, now, holds_flows=holds):
+        wanted = doubt or host in state.holding_hosts
+        if _nodes.is_due(view, now, wanted=wanted):
             _nodes.note_asked(view, now)
             effects.append(SendMessage(host, probe))
-        if _nodes.is_lost(view, now):
-            effects += _give_up_agent(state, host, view, now)
+    lost = [h for h, v in state.nodes.upstreams.items() if _nodes.is_lost(v, now)]
+    if not lost:
+        return effects
+    if _nodes.is_isolated(state.nodes.upstreams.values(), now):
+        return [*effects, _note_isolated(state, lost)]
+    for host in lost:
+        effects += _give_up_agent(state, host, state.nodes.upstreams[host], now)
     return effects
 
 
+def _note_isolated(state: BalancerState, silent: list[str]) -> Note:
+    fields = {"silent": len(silent), "known": len(state.nodes.upstreams)}
+    return Note(event=LogEvent.BALANCER_ISOLATED, fields=fields)
+
+
 def _give_up_agent(
     state: BalancerState, host: str, view: UpstreamView, now: float
 ) -> list[Effect]:
     """Free the callers of an agent that is silent: its VM is down or cut off."""
     view.lost = True
+    view.lost_at = now
     fields = {"upstream": host, "silent": round(now - view.heard, 3)}
     effects: list[Effect] = [Note(event=LogEvent.UPSTREAM_LOST, fields=fields)]
     keys = [key for key, flow in state.flows.items() if flow.host == host]
--- a/shedsill/datagram/_runtime/balancer.py
+++ b/shedsill/datagram/_runtime/balancer.py
@@ -12,6 +12,9 @@
 from shedsill.coordination.backoff import Backoff
 from shedsill.coordination.platform import (
     Changed,
+    Delete,
+    Found,
+    Get,
     Listing,
     Platform,
     StoredObject,
@@ -20,7 +23,7 @@
 from shedsill.coordination.watch import watch_changes
 from shedsill.datagram import _balancer
 from shedsill.datagram._balancer_state import BalancerState
-from shedsill.datagram._effects import Effect, ForwardPacket, PullTable
+from shedsill.datagram._effects import Effect, ForgetReport, ForwardPacket, PullTable
 from shedsill.datagram._events import CallerPacket, ReportsListed, TableOffered
 from shedsill.datagram._messages import NodeReport, load_report
 from shedsill.datagram._runtime.http import HttpClient, Response
@@ -109,6 +112,8 @@
                 if not self._pulling:
                     self._pulling = True
                     self.run_beside(self._pull_table(host))
+            case ForgetReport(report=report):
+                self.run_beside(self._forget_report(report))
             case _:
                 super().carry_out(effect)
 
@@ -119,6 +124,20 @@
             return
         self.dispatch(CallerPacket(packet=packet, now=self.now))
 
+    async def _forget_report(self, report: NodeReport) -> None:
+        """Remove a report unless its node has written another one since."""
+        found = await self.platform.call(Get(kind=REPORT_KIND, name=report.host))
+        match found:
+            case Found(object=StoredObject(version=version) as item):
+                kept = self._read_report(item)
+                if kept is None or kept.incarnation == report.incarnation:
+                    delete = Delete(
+                        kind=REPORT_KIND, name=report.host, expected=version
+                    )
+                    await self.platform.call(delete)
+            case Unavailable():
+                self.note_platform(found)
+
     # The forwarding table
 
     async def _watch_table(self) -> None:
--- a/shedsill/datagram/_runtime/node.py
+++ b/shedsill/datagram/_runtime/node.py
@@ -19,6 +19,7 @@
 from shedsill.datagram._effects import (
     CheckUpstream,
     Effect,
+    ForgetReport,
     ForwardPacket,
     ObserveLatency,
     PullTable,
@@ -271,7 +272,7 @@
                 self._exited.set()
             case ForwardPacket() | SendToUpstream() | SendToCaller():
                 raise InvariantError(f"wrong role for {type(effect).__name__}")
-            case CheckUpstream() | PullTable():
+            case CheckUpstream() | PullTable() | ForgetReport():
                 raise InvariantError(f"wrong role for {type(effect).__name__}")
 
     def send_to_caller(self, flow: bytes, data: bytes) -> None:
--- a/shedsill/datagram/_selection.py
+++ b/shedsill/datagram/_selection.py
@@ -60,6 +60,8 @@
         Whether it left an offered flow or a probe unanswered.
     lost : bool
         Whether it has been silent for so long that its flows were given up.
+    lost_at : float
+        When that was.
     """
 
     report: NodeReport
@@ -71,6 +73,7 @@
     questions: int = 0
     suspect: bool = False
     lost: bool = False
+    lost_at: float = 0.0
 
 
 def number_service(service: str) -> int:
--- a/shedsill/testing/datagrams.py
+++ b/shedsill/testing/datagrams.py
@@ -23,6 +23,7 @@
 from shedsill.datagram._effects import (
     CheckUpstream,
     Effect,
+    ForgetReport,
     ForwardPacket,
     PullTable,
     RemoveReport,
@@ -487,7 +488,9 @@
             case StoreReport(report=report) if self.store_up:
                 self.stored[report.host] = report
                 self._tell_watchers(report, removed=False)
-            case RemoveReport(report=report) if self.store_up:
+            case RemoveReport(report=report) | ForgetReport(report=report) if (
+                self.store_up
+            ):
                 self.stored.pop(report.host, None)
                 self._tell_watchers(report, removed=True)
             case CheckUpstream():
--- a/shedsill/tests/test_datagram_flows.py
+++ b/shedsill/tests/test_datagram_flows.py
@@ -281,3 +281,49 @@
     assert not world.nodes[B1].placing
     assert not world.nodes[B1].searches
     assert not world.nodes[B1].resets
+
+
+def test_a_balancer_that_is_cut_off_gives_nobody_up(world: World) -> None:
+    """Found on a played day: one cut balancer reset the flows of 18 upstreams."""
+    caller = open_flow(world)
+    world.run(0.3)
+    assert caller.outcome == "answered"
+    caller.outcome = ""
+    world.cut.add(B1)
+    world.run(3.0)
+    assert count(world, LogEvent.UPSTREAM_LOST) == 0
+    world.cut.clear()
+    assert world.get_flow(caller) in world.nodes[B1].flows
+    world.send_request(caller)
+    world.run(0.3)
+    assert caller.outcome == "answered"
+
+
+def test_an_agent_that_the_store_turns_away_is_asked_too(world: World) -> None:
+    """A new balancer learns of it from the others, so its flows are not reset."""
+    world.store_up = False
+    state = world.add_agent(A3, "dispatcher", first=True)
+    state.seeds = (B1,)
+    world.run(0.1)
+    world.drain_upstream(A1)
+    world.drain_upstream(A2)
+    world.run(0.1)
+    caller = open_flow(world)
+    assert caller.held_by == A3
+    world.store_up = True
+    world.add_balancer(B3)
+    caller.balancer = B3
+    world.send_request(caller)
+    world.run(0.5)
+    assert caller.outcome == "answered"
+
+
+def test_the_report_of_a_vm_that_is_gone_is_removed(world: World) -> None:
+    world.kill(A1)
+    world.crash_upstream(A1)
+    assert A1 in world.stored
+    for _ in range(4):
+        world.call("dispatcher", B1)
+        world.run(8.0)
+    assert A1 not in world.stored
+    assert A1 not in world.nodes[B1].nodes.upstreams
