--- a/shedsill/datagram/_balancer.py
+++ b/shedsill/datagram/_balancer.py
@@ -129,7 +129,7 @@
         case Announcement(report=report):
             return _roster.take_report(state, report, now)
         case Probe(report=report):
-            effects = _roster.take_report(state, report, now)
+            effects = _roster.take_report(state, report, now) if report else []
             return [*effects, *_answer_probe(state, source)]
         case Roster(reports=reports, last=last):
             effects = _roster.take_reports(state, reports, now)
@@ -215,6 +215,7 @@
         "source": event.source,
     }
     state.table = event.table
+    state.ahead.clear()
     state.report = replace(
         state.report, version=event.table.version, serial=state.report.serial + 1
     )
@@ -235,6 +236,7 @@
     effects += _locating.ask_searched(state, now)
     effects += _look_after_flows(state, now)
     effects += _roster.ask_silent(state, now)
+    effects += _roster.pull_table(state, now)
     effects += _roster.forget_lost(state, now)
     effects += _exchange_with_peers(state, now)
     effects += _finish_stop(state, now)
--- a/shedsill/datagram/_balancer_state.py
+++ b/shedsill/datagram/_balancer_state.py
@@ -60,6 +60,10 @@
         When this balancer started.
     introduced : bool
         Whether another balancer has told which nodes it knows.
+    ahead : dict of str to str
+        Balancers that have a newer table, with their availability zones.
+    behind_since : float
+        When the first of them said so, or was last asked for it.
     resets : dict of bytes to float
         Flows that were reset lately, and when.
     to_locate : dict of str to list of bytes
@@ -77,6 +81,8 @@
     searches: dict[bytes, Search] = field(default_factory=dict)
     started: float = 0.0
     introduced: bool = False
+    ahead: dict[str, str] = field(default_factory=dict)
+    behind_since: float = 0.0
     resets: dict[bytes, float] = field(default_factory=dict)
     to_locate: dict[str, list[bytes]] = field(default_factory=dict)
     holding_hosts: set[str] = field(default_factory=set)
--- a/shedsill/datagram/_messages.py
+++ b/shedsill/datagram/_messages.py
@@ -1,6 +1,7 @@
 """Messages between balancers and agents, one in a UDP datagram.
 
-A message is one octet for its class and the msgpack form of its attributes.
+A message is one octet for its class and the msgpack form of its attributes, in
+their order and without their names, which would be half of the octets.
 pycapnp, which frames of the HTTP/3 product use, costs a third of the CPU and
 memory that a node may spend on its start here; msgspec checks the types too.
 """
@@ -32,7 +33,7 @@
     GONE = "gone"
 
 
-class Load(Struct, frozen=True, kw_only=True):
+class Load(Struct, frozen=True, kw_only=True, array_like=True):
     """How full an upstream is, as its agent counts it.
 
     Attributes
@@ -56,7 +57,7 @@
     cold: float = 0.0
 
 
-class NodeReport(Struct, frozen=True, kw_only=True):
+class NodeReport(Struct, frozen=True, kw_only=True, array_like=True):
     """What a node says of itself; kept in the platform's store too.
 
     Attributes
@@ -90,19 +91,25 @@
     version: int = 0
 
 
-class Announcement(Struct, frozen=True, kw_only=True):
+class Announcement(Struct, frozen=True, kw_only=True, array_like=True):
     """A node's report, sent when it changes and as an answer to `Probe`."""
 
     report: NodeReport
 
 
-class Probe(Struct, frozen=True, kw_only=True):
-    """Asks for an `Announcement`; carries the asking node's own report."""
+class Probe(Struct, frozen=True, kw_only=True, array_like=True):
+    """Asks for an `Announcement`.
 
-    report: NodeReport
+    Attributes
+    ----------
+    report : NodeReport or None
+        The asking node's own, where that may be news.
+    """
+
+    report: NodeReport | None = None
 
 
-class Roster(Struct, frozen=True, kw_only=True):
+class Roster(Struct, frozen=True, kw_only=True, array_like=True):
     """Nodes that a balancer knows, for one that has just started.
 
     Attributes
@@ -115,7 +122,7 @@
     last: bool
 
 
-class FlowTaken(Struct, frozen=True, kw_only=True):
+class FlowTaken(Struct, frozen=True, kw_only=True, array_like=True):
     """The upstream has answered an opening packet.
 
     Attributes
@@ -130,13 +137,13 @@
     load: Load
 
 
-class Locate(Struct, frozen=True, kw_only=True):
+class Locate(Struct, frozen=True, kw_only=True, array_like=True):
     """Asks an agent which of these flows its upstream holds."""
 
     flows: list[bytes]
 
 
-class Located(Struct, frozen=True, kw_only=True):
+class Located(Struct, frozen=True, kw_only=True, array_like=True):
     """Answer to `Locate`; each flow asked for is in one of the lists.
 
     Attributes
@@ -166,7 +173,7 @@
     WRONG_SERVICE = "another service"
 
 
-class PacketReturned(Struct, frozen=True, kw_only=True):
+class PacketReturned(Struct, frozen=True, kw_only=True, array_like=True):
     """A packet that the agent's upstream did not take.
 
     Attributes
@@ -226,12 +233,17 @@
 
 def dump_report(report: NodeReport) -> dict:
     """Return a report in the JSON form that the platform's store keeps."""
-    return msgspec.to_builtins(report)
+    value = msgspec.structs.asdict(report)
+    value["load"] = msgspec.structs.asdict(report.load)
+    return msgspec.to_builtins(value)
 
 
 def load_report(value: object) -> NodeReport:
     """Read a report from its JSON form; raises `DecodeError`."""
     try:
-        return msgspec.convert(value, NodeReport)
-    except msgspec.MsgspecError as error:
-        raise DecodeError(f"not a node's report: {error}") from error
+        fields = dict(value)  # type: ignore[call-overload]
+        fields["load"] = [fields["load"][name] for name in Load.__struct_fields__]
+        ordered = [fields[name] for name in NodeReport.__struct_fields__]
+        return msgspec.convert(ordered, NodeReport)
+    except (msgspec.MsgspecError, LookupError, TypeError, ValueError) as error:
+        raise DecodeError(f"not a node's report: {error!r}") from error
--- a/shedsill/datagram/_roster.py
+++ b/shedsill/datagram/_roster.py
@@ -15,12 +15,16 @@
     SendMessage,
 )
 from shedsill.datagram._events import ReportsListed
-from shedsill.datagram._messages import NodeReport, Probe, Role
+from shedsill.datagram._messages import NodeReport, Probe, Role, Roster
 from shedsill.datagram._selection import UpstreamView
 
 INTRODUCTIONS = 3
 """Other balancers that one asks for the nodes they know when it starts."""
 
+PULL_AFTER = 0.4
+"""Seconds that a balancer waits for the store to bring a table that others have.
+All reading from the first one that has it would fill its link."""
+
 FORGET_LOST_AFTER = 20.0
 """Seconds after which a lost agent's report is removed from the store; a VM that
 is down or cut off for less keeps its place."""
@@ -32,11 +36,47 @@
         return []
     before = _nodes.merge_report(state.nodes, report, now, direct=True)
     effects = _note_report(state, report, before, now)
-    if report.role == Role.BALANCER and report.version > state.table.version:
-        effects.append(PullTable(report.host))
+    if report.role == Role.BALANCER:
+        _note_version(state, report, now)
+    elif before is None or before.incarnation != report.incarnation:
+        effects += _relay(state, report)
     return effects
 
 
+def _relay(state: BalancerState, report: NodeReport) -> list[Effect]:
+    """Tell the other balancers of an agent that has just started.
+
+    A new agent knows only the balancers among its seeds.
+    """
+    roster = Roster(reports=[report], last=False)
+    return [SendMessage(host, roster) for host in state.nodes.balancers]
+
+
+def _note_version(state: BalancerState, report: NodeReport, now: float) -> None:
+    """Note that another balancer has a newer table."""
+    if report.version <= state.table.version:
+        return
+    if not state.ahead:
+        state.behind_since = now
+    state.ahead[report.host] = report.zone
+
+
+def pull_table(state: BalancerState, now: float) -> list[Effect]:
+    """Read the table from another balancer if the store has not brought it.
+
+    One of this balancer's own availability zone goes first: tables are large,
+    and octets between zones are dear.
+    """
+    if not state.ahead or now - state.behind_since < PULL_AFTER:
+        return []
+    near = [h for h, zone in state.ahead.items() if zone == state.report.zone]
+    hosts = sorted(near or state.ahead)
+    state.peer_exchanges += 1
+    host = hosts[(state.report.incarnation + state.peer_exchanges) % len(hosts)]
+    state.behind_since = now
+    return [PullTable(host)]
+
+
 def take_reports(
     state: BalancerState, reports: Iterable[NodeReport], now: float
 ) -> list[Effect]:
@@ -147,7 +187,7 @@
 def ask_silent(state: BalancerState, now: float) -> list[Effect]:
     """Ask agents that have been silent; give up those that stay so."""
     effects: list[Effect] = []
-    probe = Probe(report=state.report)
+    probe = Probe()
     views = state.nodes.upstreams.values()
     doubt = any(v.silent_since is not None and not v.lost for v in views)
     for host, view in state.nodes.upstreams.items():
--- a/shedsill/datagram/_runtime/balancer.py
+++ b/shedsill/datagram/_runtime/balancer.py
@@ -44,9 +44,10 @@
 WATCH_PATIENCE = 25.0
 """Seconds for which a watch waits; each one is a call that is paid for."""
 
-REPORT_PAUSE = 0.25
-"""Seconds between a change of reports and the next watch: when many nodes start
-together their reports come in a few calls, and direct news is faster anyway."""
+REPORT_PAUSE = 2.0
+"""Seconds between a change of reports and the next watch, which has all changes
+of that time: each call is paid for by each balancer, and direct news is faster
+anyway."""
 
 RETRY = Backoff(first=0.1, longest=1.0)
 """Delays between tries while the store is away; a change of the table has to be
