--- a/shedsill/testing/datagrams.py
+++ b/shedsill/testing/datagrams.py
@@ -11,7 +11,6 @@
 import heapq
 import itertools
 import struct
-import zlib
 from collections.abc import Callable
 
 from attrs import define, field
@@ -58,93 +57,18 @@
     decode_message,
     encode_message,
 )
-from shedsill.datagram._packet import ACK, BOUNCED, RST, SYN
 from shedsill.datagram._reducer import reduce
-from shedsill.platform.packets import HeadCodec
-from shedsill.testing.parts import OracleError
+from shedsill.testing.flow_peers import (
+    CODEC,
+    FIRST_PORT,
+    SERVICE_HOST,
+    Caller,
+    Upstream,
+)
 
-CODEC = HeadCodec()
 LATENCY = 0.001
 TICK = 0.04
 BEAT = 1.2
-COPY_TIMES = (0.2, 0.6)
-OPENING_LIMIT = 1.4
-RETRANSMIT = 0.2
-WORK = 0.05
-SERVICE_HOST = 0xC6120001
-BITS = {SYN: 4, ACK: 128, RST: 32, BOUNCED: 2}
-
-
-def make_packet(
-    source: tuple[int, int],
-    target: tuple[int, int],
-    bits: int,
-    *,
-    seq: int = 0,
-    ack: int = 0,
-    content: bytes = b"",
-) -> bytes:
-    """Return a packet between two (IP number, port) pairs, with a true sum."""
-    head = struct.pack(
-        ">B5xHHIHIIII",
-        bits,
-        len(content),
-        source[1],
-        target[0],
-        target[1],
-        source[0],
-        0,
-        seq,
-        ack,
-    )
-    return head + struct.pack(">I", sum_packet(head + bytes(4) + content)) + content
-
-
-def sum_packet(data: bytes) -> int:
-    """Return the sum over all that a node may not change."""
-    flags = bytes([data[0] & ~BITS[BOUNCED]])
-    return zlib.crc32(flags + data[6:20] + data[24:32] + data[36:])
-
-
-def check_packet(data: bytes) -> None:
-    """Raise `OracleError` if a packet is not as its sender wrote it."""
-    if sum_packet(data) != struct.unpack_from(">I", data, 32)[0]:
-        raise OracleError("a packet was changed on its way")
-
-
-@define(eq=False)
-class Upstream:
-    """A back end: takes openings, answers each request after `WORK` seconds."""
-
-    host: str
-    service: str
-    boot: str
-    state: UpstreamState = UpstreamState.READY
-    alive: bool = True
-    refusing: bool = False
-    beats: int = 0
-    flows: dict[bytes, int] = field(factory=dict)
-    offered: dict[bytes, int] = field(factory=dict)
-    runs: list[bytes] = field(factory=list)
-
-
-@define(eq=False)
-class Caller:
-    """A caller with one flow and one request on it."""
-
-    number: int
-    service: str
-    balancer: str
-    outcome: str = ""
-    open: bool = False
-    held_by: str = ""
-    upstream_seq: int = 0
-    begun: float = 0.0
-
-    @property
-    def address(self) -> tuple[int, int]:
-        """IP number and port of the caller."""
-        return (0x64400000 + self.number, 40_000)
 
 
 @define(eq=False)
@@ -156,18 +80,23 @@
     nodes: dict[str, BalancerState | AgentState] = field(factory=dict)
     upstreams: dict[str, Upstream] = field(factory=dict)
     callers: dict[bytes, Caller] = field(factory=dict)
+    routers: dict[bytes, str] = field(factory=dict)
     stored: dict[str, NodeReport] = field(factory=dict)
     store_up: bool = True
     cut: set[str] = field(factory=set)
     table: ForwardingTable = field(factory=ForwardingTable)
     notes: list[tuple[str, Note]] = field(factory=list)
-    resets: list[Caller] = field(factory=list)
     _queue: list = field(factory=list)
     _numbers: itertools.count = field(factory=itertools.count)
 
     def __attrs_post_init__(self) -> None:
         self.table = self.make_table(1)
 
+    @property
+    def resets(self) -> list[Caller]:
+        """The callers whose flow was reset."""
+        return [c for c in self.callers.values() if c.outcome == "reset"]
+
     # Building
 
     def make_table(self, version: int, without: str = "") -> ForwardingTable:
@@ -182,7 +111,7 @@
         return ForwardingTable(version=version, routes=routes, idle_timeout=15.0)
 
     def _get_port(self, service: str) -> int:
-        return 443 + self.services.index(service)
+        return FIRST_PORT + self.services.index(service)
 
     def _get_endpoint(self, service: str) -> bytes:
         return struct.pack(">IH", SERVICE_HOST, self._get_port(service))
@@ -226,7 +155,13 @@
     def start_upstream(self, host: str, service: str) -> Upstream:
         """Start a new run of an upstream."""
         boot = f"i-{next(self._numbers)}"
-        upstream = Upstream(host=host, service=service, boot=boot)
+        upstream = Upstream(
+            host=host,
+            port=self._get_port(service),
+            boot=boot,
+            send=lambda data: self._reach_agent(host, data),
+            schedule=self._schedule,
+        )
         self.upstreams[host] = upstream
         return upstream
 
@@ -246,8 +181,7 @@
 
     def crash_upstream(self, host: str) -> None:
         """End an upstream's run; its port refuses connections."""
-        self.upstreams[host].alive = False
-        self.upstreams[host].flows.clear()
+        self.upstreams[host].crash()
 
     def stop(self, host: str) -> None:
         """Ask a node to stop."""
@@ -283,129 +217,41 @@
 
     def call(self, service: str, balancer: str) -> Caller:
         """Have a new caller open a flow and send one request."""
-        number = len(self.callers)
         caller = Caller(
-            number=number, service=service, balancer=balancer, begun=self.now
+            address=(0x64400000 + len(self.callers), 40_000),
+            service=(SERVICE_HOST, self._get_port(service)),
+            send=lambda data: self._send_in(caller, data),
+            schedule=self._schedule,
+            is_held=lambda flow: bool(self.find_holder(caller)),
         )
-        self.callers[self.get_flow(caller)] = caller
-        self._send_opening(caller, 0)
-        for copy, after in enumerate(COPY_TIMES, 1):
-            self._schedule(after, lambda c=copy: self._send_opening(caller, c))
-        self._schedule(OPENING_LIMIT, lambda: self._give_up(caller))
+        self.callers[caller.flow] = caller
+        self.routers[caller.flow] = balancer
+        caller.begin()
         return caller
 
-    def get_flow(self, caller: Caller) -> bytes:
-        """Return the key of a caller's flow."""
-        packet = CODEC.decode_caller(self._write(caller, BITS[SYN]))
-        assert packet is not None
-        return packet.flow
-
-    def _write(self, caller: Caller, bits: int, **parts) -> bytes:
-        service = (SERVICE_HOST, self._get_port(caller.service))
-        return make_packet(caller.address, service, bits, **parts)
-
-    def _send_opening(self, caller: Caller, copy: int) -> None:
-        if not caller.open and not caller.outcome:
-            self._send_in(caller, self._write(caller, BITS[SYN], ack=copy))
-
-    def _give_up(self, caller: Caller) -> None:
-        if not caller.open and not caller.outcome:
-            caller.outcome = "timeout"
-
-    def send_request(self, caller: Caller) -> None:
-        """Send (again) the request of an open flow, until it is answered."""
-        if caller.outcome:
-            return
-        data = self._write(
-            caller,
-            BITS[ACK],
-            seq=1,
-            ack=caller.upstream_seq + 1,
-            content=b"request",
-        )
-        self._send_in(caller, data)
-        self._schedule(RETRANSMIT, lambda: self.send_request(caller))
+    def find_holder(self, caller: Caller) -> str:
+        """Return the host whose living upstream holds a caller's flow."""
+        for host, upstream in self.upstreams.items():
+            if upstream.alive and caller.flow in upstream.flows:
+                return host
+        return ""
 
     def _send_in(self, caller: Caller, data: bytes) -> None:
         packet = CODEC.decode_caller(data)
         assert packet is not None
-        balancer = caller.balancer
         self._deliver(
-            "caller", balancer, lambda: CallerPacket(packet=packet, now=self.now)
+            "caller",
+            self.routers[caller.flow],
+            lambda: CallerPacket(packet=packet, now=self.now),
         )
 
     def _reach_caller(self, data: bytes) -> None:
         packet = CODEC.decode_upstream(data)
         assert packet is not None
-        caller = self.callers[packet.flow]
-        if caller.outcome:
-            return
-        if packet.flags & RST:
-            self._take_reset(caller)
-            return
-        check_packet(data)
-        if packet.flags & SYN and not caller.open:
-            caller.open = True
-            caller.upstream_seq = packet.seq
-            self.send_request(caller)
-        elif packet.length:
-            caller.outcome = "answered"
-
-    def _take_reset(self, caller: Caller) -> None:
-        holder = self.upstreams.get(caller.held_by)
-        flow = self.get_flow(caller)
-        if caller.open and holder and holder.alive and flow in holder.flows:
-            raise OracleError(f"a flow that {holder.host} holds was reset")
-        caller.outcome = "reset"
-        self.resets.append(caller)
+        self.callers[packet.flow].receive(data)
 
     # Upstreams
 
-    def _reach_upstream(self, host: str, data: bytes) -> None:
-        check_packet(data)
-        upstream = self.upstreams[host]
-        packet = CODEC.decode_caller(data)
-        assert packet is not None
-        if not upstream.alive:
-            return
-        if packet.flags == SYN and not upstream.refusing:
-            self._take_opening(upstream, packet.flow, data)
-            return
-        if packet.flow in upstream.offered:
-            expected = upstream.offered.pop(packet.flow)
-            if packet.ack == expected + 1:
-                upstream.flows[packet.flow] = expected
-                self.callers[packet.flow].held_by = host
-        if packet.flow not in upstream.flows:
-            bounced = bytes([data[0] | BITS[BOUNCED]]) + data[1:]
-            self._reach_agent(host, bounced)
-            return
-        if packet.length:
-            self._schedule(WORK, lambda: self._answer(upstream, packet.flow))
-
-    def _take_opening(self, upstream: Upstream, flow: bytes, data: bytes) -> None:
-        caller = self.callers[flow]
-        if caller.service != upstream.service:
-            raise OracleError(f"a flow to {caller.service} reached {upstream.service}")
-        seq = zlib.crc32(upstream.boot.encode() + flow)
-        upstream.offered[flow] = seq
-        bits = BITS[SYN] | BITS[ACK]
-        self._write_from(upstream, caller, bits, seq=seq)
-
-    def _answer(self, upstream: Upstream, flow: bytes) -> None:
-        if upstream.alive and flow in upstream.flows:
-            upstream.runs.append(flow)
-            caller = self.callers[flow]
-            seq = upstream.flows[flow] + 1
-            self._write_from(upstream, caller, BITS[ACK], seq=seq, content=b"answer")
-
-    def _write_from(
-        self, upstream: Upstream, caller: Caller, bits: int, **parts
-    ) -> None:
-        service = (SERVICE_HOST, self._get_port(caller.service))
-        data = make_packet(service, caller.address, bits, **parts)
-        self._reach_agent(upstream.host, data)
-
     def _reach_agent(self, host: str, data: bytes) -> None:
         packet = CODEC.decode_upstream(data)
         assert packet is not None
@@ -480,7 +326,8 @@
                 self._deliver(host, other, lambda: self._message(octets, host))
             case SendToUpstream(packet=packet, balancer=balancer):
                 data = CODEC.encode_for_upstream(packet, balancer)
-                self._schedule(LATENCY, lambda: self._reach_upstream(host, data))
+                upstream = self.upstreams[host]
+                self._schedule(LATENCY, lambda: upstream.receive(data))
             case SendToCaller(packet=packet):
                 self._send_out(host, packet.data)
             case ResetFlow(flow=flow, seq=seq):
--- a/shedsill/tests/test_datagram_flows.py
+++ b/shedsill/tests/test_datagram_flows.py
@@ -8,7 +8,8 @@
 from shedsill.datagram._messages import UpstreamState
 from shedsill.datagram._nodes import LOST_AFTER
 from shedsill.datagram._roster import PULL_AFTER
-from shedsill.testing.datagrams import Caller, World
+from shedsill.testing.datagrams import World
+from shedsill.testing.flow_peers import Caller
 
 B1, B2, B3 = "10.0.0.1", "10.0.0.2", "10.0.0.3"
 A1, A2, A3 = "10.1.0.1", "10.1.0.2", "10.1.0.3"
@@ -32,7 +33,7 @@
     """Return a caller whose flow is open and whose request is at work."""
     caller = world.call("dispatcher", balancer)
     world.run(0.02)
-    assert caller.open and caller.held_by
+    assert caller.open and world.find_holder(caller)
     return caller
 
 
@@ -55,9 +56,9 @@
 
 def test_another_balancer_finds_the_flow(world: World) -> None:
     caller = open_flow(world)
-    caller.balancer = B2
+    world.routers[caller.flow] = B2
     world.run(0.01)
-    world.send_request(caller)
+    caller.send_request()
     world.run(0.01)
     assert count(world, LogEvent.FLOW_FOUND) == 1
     world.run(0.2)
@@ -68,7 +69,7 @@
     caller = open_flow(world)
     world.kill(B1)
     world.add_balancer(B1)
-    world.send_request(caller)
+    caller.send_request()
     world.run(0.2)
     assert caller.outcome == "answered"
     assert not world.resets
@@ -76,9 +77,9 @@
 
 def test_a_restarted_agent_learns_its_flows_again(world: World) -> None:
     caller = open_flow(world)
-    world.kill(caller.held_by)
+    world.kill(world.find_holder(caller))
     world.run(0.05)
-    world.add_agent(caller.held_by, "dispatcher")
+    world.add_agent(world.find_holder(caller), "dispatcher")
     world.run(0.5)
     assert caller.outcome == "answered"
     assert not world.resets
@@ -100,14 +101,14 @@
 
 def test_a_flow_of_a_crashed_upstream_is_reset(world: World) -> None:
     caller = open_flow(world)
-    world.crash_upstream(caller.held_by)
+    world.crash_upstream(world.find_holder(caller))
     world.run(1.2)
     assert caller.outcome == "reset"
 
 
 def test_an_idle_caller_is_freed_when_the_upstream_restarts(world: World) -> None:
     caller = open_flow(world)
-    host = caller.held_by
+    host = world.find_holder(caller)
     world.crash_upstream(host)
     world.start_upstream(host, "dispatcher")
     world._send_beat(host)
@@ -117,7 +118,7 @@
 
 def test_balancers_free_the_flows_of_a_restarted_vm(world: World) -> None:
     caller = open_flow(world)
-    host = caller.held_by
+    host = world.find_holder(caller)
     world.kill(host)
     world.crash_upstream(host)
     world.start_upstream(host, "dispatcher")
@@ -129,8 +130,8 @@
 
 def test_flows_of_a_silent_vm_are_given_up(world: World) -> None:
     caller = open_flow(world)
-    world.cut.add(caller.held_by)
-    world.upstreams[caller.held_by].alive = False
+    world.cut.add(world.find_holder(caller))
+    world.upstreams[world.find_holder(caller)].alive = False
     world.run(LOST_AFTER / 2)
     assert not caller.outcome
     world.run(LOST_AFTER + 0.6)
@@ -139,12 +140,12 @@
 
 def test_a_stopping_agent_keeps_its_flows_through_a_silence(world: World) -> None:
     caller = open_flow(world)
-    world.stop(caller.held_by)
+    world.stop(world.find_holder(caller))
     world.run(0.01)
-    world.kill(caller.held_by)
+    world.kill(world.find_holder(caller))
     world.run(LOST_AFTER + 0.6)
     assert not caller.outcome
-    world.add_agent(caller.held_by, "dispatcher")
+    world.add_agent(world.find_holder(caller), "dispatcher")
     world.run(0.5)
     assert caller.outcome == "answered"
 
@@ -161,7 +162,7 @@
     callers = [world.call("dispatcher", B1) for _ in range(6)]
     world.run(0.3)
     assert [c.outcome for c in callers] == ["answered"] * 6
-    assert all(caller.held_by == A2 for caller in callers)
+    assert all(world.find_holder(caller) == A2 for caller in callers)
 
 
 def test_an_opening_that_nobody_takes_is_reset_at_once(world: World) -> None:
@@ -197,7 +198,7 @@
 
 def test_open_flows_of_a_draining_upstream_are_served(world: World) -> None:
     caller = open_flow(world)
-    world.drain_upstream(caller.held_by)
+    world.drain_upstream(world.find_holder(caller))
     world.run(0.3)
     assert caller.outcome == "answered"
 
@@ -233,7 +234,7 @@
 
 def test_flows_of_a_dropped_route_end(world: World) -> None:
     caller = open_flow(world)
-    world.upstreams[caller.held_by].flows.clear()
+    world.upstreams[world.find_holder(caller)].flows.clear()
     world.change_table(world.make_table(2, without="dispatcher"), (B1,))
     world.run(0.4)
     assert caller.outcome == "reset"
@@ -266,10 +267,10 @@
 
 def test_a_flow_found_nowhere_is_reset_once_all_have_answered(world: World) -> None:
     caller = open_flow(world)
-    upstream = world.upstreams[caller.held_by]
+    upstream = world.upstreams[world.find_holder(caller)]
     upstream.flows.clear()
-    world.kill(caller.held_by)
-    world.add_agent(caller.held_by, "dispatcher")
+    world.kill(world.find_holder(caller))
+    world.add_agent(world.find_holder(caller), "dispatcher")
     world.kill(B1)
     world.add_balancer(B1)
     world.run(0.5)
@@ -296,8 +297,8 @@
     world.run(3.0)
     assert count(world, LogEvent.UPSTREAM_LOST) == 0
     world.cut.clear()
-    assert world.get_flow(caller) in world.nodes[B1].flows
-    world.send_request(caller)
+    assert caller.flow in world.nodes[B1].flows
+    caller.send_request()
     world.run(0.3)
     assert caller.outcome == "answered"
 
@@ -312,11 +313,11 @@
     world.drain_upstream(A2)
     world.run(0.1)
     caller = open_flow(world)
-    assert caller.held_by == A3
+    assert world.find_holder(caller) == A3
     world.store_up = True
     world.add_balancer(B3)
-    caller.balancer = B3
-    world.send_request(caller)
+    world.routers[caller.flow] = B3
+    caller.send_request()
     world.run(0.5)
     assert caller.outcome == "answered"
 
--- a/shedsill/tests/test_platform_packets.py
+++ b/shedsill/tests/test_platform_packets.py
@@ -10,7 +10,7 @@
 from shedsill.datagram._forwarding import Route
 from shedsill.datagram._packet import ACK, BOUNCED, RST, SYN
 from shedsill.platform.packets import HEAD_LENGTH, HeadCodec
-from shedsill.testing.datagrams import check_packet, make_packet
+from shedsill.testing.flow_peers import check_packet, make_packet
 
 CODEC = HeadCodec()
 EXAMPLE = bytes.fromhex(
