--- /dev/null
+++ b/shedsill/testing/deployment.py
@@ -0,0 +1,384 @@
+"""The real nodes as processes on loopback, with stand-ins around them.
+
+Each node has an IP number of its own in 127.0.0.0/8, so that ports are the same
+everywhere, as on the platform.  Callers, upstreams, routers and the store run in
+the test's loop.  Only processes that were started here are ever signalled.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import struct
+import sys
+from collections.abc import Callable
+
+import aiohttp
+from aiohttp import web
+from attrs import define, field
+
+from shedsill.datagram._messages import UpstreamState
+from shedsill.testing.flow_peers import (
+    CODEC,
+    FIRST_PORT,
+    SERVICE_HOST,
+    Caller,
+    Upstream,
+)
+from shedsill.testing.object_store import ObjectStoreStandIn
+from shedsill.testing.ports import find_ports
+
+BEAT = 0.3
+START_LIMIT = 20.0
+END_LIMIT = 20.0
+POLL = 0.02
+CALLER_HOST = "127.0.9.1"
+STORE_HOST = "127.0.8.1"
+PORT_NAMES = ("packets", "messages", "ready", "control", "app", "outbound", "store")
+
+
+@define(eq=False)
+class NodeProcess:
+    """One node as a process.
+
+    Attributes
+    ----------
+    frozen : bool
+        Whether it was stopped with SIGSTOP.
+    """
+
+    host: str
+    role: str
+    service: str = ""
+    process: asyncio.subprocess.Process | None = None
+    frozen: bool = False
+
+    @property
+    def running(self) -> bool:
+        """Whether the process has not ended."""
+        return self.process is not None and self.process.returncode is None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal, unless the process has ended."""
+        if self.running:
+            assert self.process is not None
+            self.process.send_signal(number)
+
+
+class _Datagrams(asyncio.DatagramProtocol):
+    def __init__(self, take: Callable[[bytes], None]) -> None:
+        self._take = take
+
+    def datagram_received(self, data: bytes, addr: tuple) -> None:
+        self._take(data)
+
+
+@define(eq=False)
+class Deployment:
+    """Balancers, agents and everything around them.
+
+    Attributes
+    ----------
+    errors : list of Exception
+        Broken promises that a caller or an upstream has seen.
+    """
+
+    folder: pathlib.Path
+    services: tuple[str, ...]
+    store: ObjectStoreStandIn = field(factory=ObjectStoreStandIn)
+    nodes: dict[str, NodeProcess] = field(factory=dict)
+    upstreams: dict[str, Upstream] = field(factory=dict)
+    callers: dict[bytes, Caller] = field(factory=dict)
+    routers: dict[bytes, str] = field(factory=dict)
+    errors: list[Exception] = field(factory=list)
+    version: int = 0
+    ports: dict[str, int] = field(factory=dict)
+    _started: set[str] = field(factory=set)
+    _boots: int = 0
+    _transports: list = field(factory=list)
+    _senders: dict[str, socket.socket] = field(factory=dict)
+    _tasks: set[asyncio.Task] = field(factory=set)
+    _runner: web.AppRunner | None = None
+    _http: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> Deployment:
+        self.ports = dict(zip(PORT_NAMES, find_ports(len(PORT_NAMES)), strict=True))
+        self._http = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1.0))
+        self._runner = web.AppRunner(self.store.make_app(), shutdown_timeout=0.1)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, STORE_HOST, self.ports["store"]).start()
+        await self._listen(CALLER_HOST, "packets", self._reach_caller)
+        self.write_table()
+        return self
+
+    async def __aexit__(self, *_exception: object) -> None:
+        for task in self._tasks:
+            task.cancel()
+        for node in self.nodes.values():
+            await self.kill(node.host)
+        for transport in self._transports:
+            transport.close()
+        for sender in self._senders.values():
+            sender.close()
+        assert self._http is not None and self._runner is not None
+        await self._http.close()
+        await self._runner.cleanup()
+
+    # The platform's side
+
+    def write_table(self, *, without: str = "") -> None:
+        """Have the operator write a new configuration."""
+        self.version += 1
+        routes = [
+            {
+                "name": f"r-{service}",
+                "host": socket.inet_ntoa(struct.pack(">I", SERVICE_HOST)),
+                "path_prefix": f"/{self._get_port(service)}/",
+                "type": "safe",
+                "timeout_ms": 2000,
+                "priority": 1,
+                "service": service,
+            }
+            for service in self.services
+            if service != without
+        ]
+        value = {
+            "version": self.version,
+            "routes": routes,
+            "limits": {"idle_timeout_ms": 15_000},
+        }
+        self.store.write("config", "main", value)
+
+    def _get_port(self, service: str) -> int:
+        return FIRST_PORT + self.services.index(service)
+
+    async def _listen(
+        self, host: str, port: str, take: Callable[[bytes], None]
+    ) -> asyncio.DatagramTransport:
+        loop = asyncio.get_running_loop()
+        transport, _protocol = await loop.create_datagram_endpoint(
+            lambda: _Datagrams(lambda data: self._guard(take, data)),
+            local_addr=(host, self.ports[port]),
+        )
+        self._transports.append(transport)
+        return transport
+
+    def _guard(self, action: Callable, *arguments: object) -> None:
+        """Keep a broken promise for the end of the run."""
+        try:
+            action(*arguments)
+        except AssertionError as error:
+            self.errors.append(error)
+
+    def _schedule(self, after: float, action: Callable[[], object]) -> None:
+        asyncio.get_running_loop().call_later(after, self._guard, action)
+
+    # Nodes
+
+    async def start_balancer(self, host: str) -> NodeProcess:
+        """Start a balancer and wait until it is ready."""
+        return await self._start(NodeProcess(host=host, role="balancer"))
+
+    async def start_agent(self, host: str, service: str) -> NodeProcess:
+        """Start an agent, and its upstream if there is none on that VM."""
+        if host not in self.upstreams:
+            await self.start_upstream(host, service)
+        return await self._start(NodeProcess(host=host, role="agent", service=service))
+
+    async def restart(self, host: str) -> NodeProcess:
+        """Start a node again that has ended."""
+        known = self.nodes[host]
+        fresh = NodeProcess(host=host, role=known.role, service=known.service)
+        return await self._start(fresh)
+
+    async def _start(self, node: NodeProcess) -> NodeProcess:
+        self.nodes[node.host] = node
+        path = self.folder / f"{node.host}.json"
+        path.write_text(json.dumps(self._make_settings(node)))
+        self._started.add(node.host)
+        with (self.folder / f"{node.host}.log").open("ab") as log:
+            node.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "shedsill.platform",
+                node.role,
+                env={**os.environ, "SHEDSILL_BOOT": str(path)},
+                stdout=log,
+                stderr=log,
+            )
+        return node
+
+    def _make_settings(self, node: NodeProcess) -> dict:
+        def address(name: str) -> str:
+            return f"{node.host}:{self.ports[name]}"
+
+        messages = self.ports["messages"]
+        return {
+            "node": node.host,
+            "ip": node.host,
+            "zone": "z1",
+            "port_range": [messages, messages],
+            "seeds": [],
+            "bootstrap": node.host not in self._started,
+            "app": address("app") if node.role == "agent" else "",
+            "service": node.service,
+            "listen": {
+                "packet_addr": address("packets"),
+                "ready": address("ready"),
+                "control": address("control"),
+                "outbound": address("outbound"),
+            },
+            "bounds": {"flow_ttl_s": 60, "grace_s": 6},
+            "platform": {"addr": f"{STORE_HOST}:{self.ports['store']}"},
+        }
+
+    async def wait_ready(self, host: str) -> None:
+        """Wait until a node answers that it is ready."""
+        assert self._http is not None
+        url = f"http://{host}:{self.ports['ready']}/-/ready"
+        async with asyncio.timeout(START_LIMIT):
+            while True:
+                with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                    async with self._http.get(url) as response:
+                        if response.status == 200:
+                            return
+                await asyncio.sleep(POLL)
+
+    async def kill(self, host: str) -> None:
+        """End a node's process at once."""
+        node = self.nodes[host]
+        if node.running:
+            assert node.process is not None
+            node.process.kill()
+            await node.process.wait()
+
+    async def stop(self, host: str) -> int:
+        """Ask a node to stop; return its exit code."""
+        node = self.nodes[host]
+        assert node.process is not None
+        node.signal(signal.SIGTERM)
+        async with asyncio.timeout(END_LIMIT):
+            return await node.process.wait()
+
+    # Upstreams
+
+    async def start_upstream(self, host: str, service: str) -> Upstream:
+        """Start a new run of the upstream on a VM."""
+        self._boots += 1
+        known = self.upstreams.get(host)
+        if known is None:
+            transport = await self._listen(
+                host, "app", lambda data: self.upstreams[host].receive(data)
+            )
+            server = await asyncio.start_server(
+                lambda _reader, writer: self._accept(host, writer),
+                host,
+                self.ports["app"],
+            )
+            self._transports.append(server)
+            outbound = (host, self.ports["outbound"])
+            send = lambda data: transport.sendto(data, outbound)  # noqa: E731
+            self._begin(self._beat(host, service))
+        else:
+            send = known.send
+        self.upstreams[host] = Upstream(
+            host=host,
+            port=self._get_port(service),
+            boot=f"i-{self._boots}",
+            send=send,
+            schedule=self._schedule,
+        )
+        return self.upstreams[host]
+
+    def _accept(self, host: str, writer: asyncio.StreamWriter) -> None:
+        if not self.upstreams[host].alive:
+            writer.transport.abort()
+        writer.close()
+
+    def _begin(self, coroutine) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _beat(self, host: str, service: str) -> None:
+        while True:
+            with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
+                await self.send_beat(host, service)
+            await asyncio.sleep(BEAT)
+
+    async def send_beat(self, host: str, service: str) -> int:
+        """Send one heartbeat; return the status it was answered with."""
+        assert self._http is not None
+        upstream = self.upstreams[host]
+        if not upstream.alive:
+            return 0
+        upstream.beats += 1
+        body = {
+            "service": service,
+            "addr": f"{host}:{self.ports['app']}",
+            "slots": 3,
+            "state": upstream.state.value,
+            "cold_left_ms": 0,
+            "seq": upstream.beats,
+        }
+        url = f"http://{host}:{self.ports['control']}/-/instances/{upstream.boot}"
+        async with self._http.put(url, json=body) as response:
+            return response.status
+
+    async def drain_upstream(self, host: str, service: str) -> int:
+        """Have an upstream say that it drains; return the answer's status."""
+        self.upstreams[host].state = UpstreamState.DRAINING
+        return await self.send_beat(host, service)
+
+    # Callers
+
+    def call(self, service: str, balancer: str) -> Caller:
+        """Have a new caller open a flow through a balancer and send a request."""
+        address = (
+            struct.unpack(">I", socket.inet_aton(CALLER_HOST))[0],
+            10_000 + len(self.callers),
+        )
+        caller = Caller(
+            address=address,
+            service=(SERVICE_HOST, self._get_port(service)),
+            send=lambda data: self._send_in(caller, data),
+            schedule=self._schedule,
+            is_held=lambda flow: any(
+                u.alive and flow in u.flows for u in self.upstreams.values()
+            ),
+        )
+        self.callers[caller.flow] = caller
+        self.routers[caller.flow] = balancer
+        caller.begin()
+        return caller
+
+    def _send_in(self, caller: Caller, data: bytes) -> None:
+        sender = self._senders.get(CALLER_HOST)
+        if sender is None:
+            sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            sender.setblocking(False)
+            self._senders[CALLER_HOST] = sender
+        target = (self.routers[caller.flow], self.ports["packets"])
+        with contextlib.suppress(OSError):
+            sender.sendto(data, target)
+
+    def _reach_caller(self, data: bytes) -> None:
+        packet = CODEC.decode_upstream(data)
+        assert packet is not None
+        self.callers[packet.flow].receive(data)
+
+    async def settle(self, callers: list[Caller], limit: float = 10.0) -> None:
+        """Wait until each of some callers has an outcome."""
+        async with asyncio.timeout(limit):
+            while not all(caller.outcome for caller in callers):
+                await asyncio.sleep(POLL)
+
+    def read_log(self, host: str) -> list[dict]:
+        """Return the log lines that a node has written."""
+        text = (self.folder / f"{host}.log").read_text()
+        return [json.loads(line) for line in text.splitlines() if line.startswith("{")]
--- /dev/null
+++ b/shedsill/tests/test_platform_processes.py
@@ -0,0 +1,100 @@
+"""The platform's programs as real processes, with real packets and signals."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+from collections.abc import Awaitable, Callable
+
+from shedsill.testing.deployment import Deployment
+
+BALANCERS = ("127.0.1.1", "127.0.1.2")
+AGENTS = {
+    "127.0.2.1": "dispatcher",
+    "127.0.2.2": "dispatcher",
+    "127.0.2.3": "intake",
+}
+B1, B2 = BALANCERS
+A1, A2 = list(AGENTS)[:2]
+
+
+def play(
+    folder: pathlib.Path, scenario: Callable[[Deployment], Awaitable[None]]
+) -> None:
+    """Run a scenario against two balancers and three agents."""
+
+    async def run() -> None:
+        async with Deployment(folder, ("dispatcher", "intake")) as deployment:
+            for host, service in AGENTS.items():
+                await deployment.start_agent(host, service)
+            for host in BALANCERS:
+                await deployment.start_balancer(host)
+            for host in (*AGENTS, *BALANCERS):
+                await deployment.wait_ready(host)
+            await scenario(deployment)
+            assert deployment.errors == []
+
+    asyncio.run(run())
+
+
+def test_requests_are_served_and_explained(tmp_path: pathlib.Path) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        services = ("dispatcher", "intake") * 6
+        callers = [
+            deployment.call(service, BALANCERS[n % 2])
+            for n, service in enumerate(services)
+        ]
+        await deployment.settle(callers)
+        assert {caller.outcome for caller in callers} == {"answered"}
+        await asyncio.sleep(0.2)
+        lines = deployment.read_log(B1) + deployment.read_log(B2)
+        offered = {line["flow"] for line in lines if line["name"] == "flow_offered"}
+        assert len(offered) == len(callers)
+
+    play(tmp_path, scenario)
+
+
+def test_open_flows_outlive_a_kill_of_every_node(tmp_path: pathlib.Path) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        callers = [deployment.call("dispatcher", B1) for _ in range(4)]
+        while not all(caller.open for caller in callers):
+            await asyncio.sleep(0.001)
+        for host in (*AGENTS, *BALANCERS):
+            await deployment.kill(host)
+        for host in (*AGENTS, *BALANCERS):
+            await deployment.restart(host)
+        await deployment.settle(callers, 15.0)
+        assert {caller.outcome for caller in callers} == {"answered"}
+
+    play(tmp_path, scenario)
+
+
+def test_a_planned_stop_ends_well_and_loses_nothing(tmp_path: pathlib.Path) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        callers = [deployment.call("dispatcher", B1) for _ in range(4)]
+        while not all(caller.open for caller in callers):
+            await asyncio.sleep(0.001)
+        codes = await asyncio.gather(deployment.stop(B1), deployment.stop(A1))
+        assert codes == [0, 0]
+        for caller in callers:
+            deployment.routers[caller.flow] = B2
+        await deployment.restart(A1)
+        await deployment.settle(callers)
+        assert {caller.outcome for caller in callers} == {"answered"}
+
+    play(tmp_path, scenario)
+
+
+def test_the_store_may_be_away(tmp_path: pathlib.Path) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        deployment.store.faults.down = "busy"
+        callers = [deployment.call("dispatcher", B1) for _ in range(4)]
+        await deployment.settle(callers)
+        await deployment.drain_upstream(A1, "dispatcher")
+        late = [deployment.call("dispatcher", B2) for _ in range(6)]
+        await deployment.settle(late)
+        outcomes = {caller.outcome for caller in (*callers, *late)}
+        assert outcomes == {"answered"}
+        assert not any(c.flow in deployment.upstreams[A1].runs for c in late)
+
+    play(tmp_path, scenario)
