--- a/shedsill/_catalogue.py
+++ b/shedsill/_catalogue.py
@@ -120,6 +120,7 @@
     TABLE_APPLIED = Entry(630, Level.INFO, "forwarding table in force")
     TABLE_REJECTED = Entry(631, Level.ERROR, "forwarding table cannot be read")
     SETTINGS_READ = Entry(632, Level.INFO, "settings read again")
+    SETTINGS_REJECTED = Entry(633, Level.ERROR, "changed settings are not allowed")
     MESSAGE_REFUSED = Entry(640, Level.WARNING, "message from a node cannot be read")
     PACKET_MALFORMED = Entry(641, Level.INFO, "datagram is not a packet")
     SEND_FAILED = Entry(642, Level.WARNING, "datagram could not be sent")
--- a/shedsill/datagram/_events.py
+++ b/shedsill/datagram/_events.py
@@ -136,6 +136,22 @@
     now: float
 
 
+class SettingsChanged(Struct, frozen=True, kw_only=True):
+    """The operator's settings for this node were read again.
+
+    Attributes
+    ----------
+    seeds : tuple of str
+        Hosts of balancers, some of which may be gone.
+    flow_lifetime, stop_limit : float
+        Seconds; see `NodeSettings`.
+    """
+
+    seeds: tuple[str, ...]
+    flow_lifetime: float
+    stop_limit: float
+
+
 class StopRequested(Struct, frozen=True, kw_only=True):
     """The process was asked to stop."""
 
@@ -154,5 +170,6 @@
     | UpstreamChecked
     | TableOffered
     | ReportsListed
+    | SettingsChanged
     | StopRequested
 )
--- a/shedsill/datagram/_reducer.py
+++ b/shedsill/datagram/_reducer.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from shedsill._catalogue import LogEvent
 from shedsill._shared_effects import Note
 from shedsill.datagram import _agent, _agent_packets, _balancer, _roster, _upstream
 from shedsill.datagram._agent_state import AgentState
@@ -19,6 +20,7 @@
     MessageReceived,
     PacketsDrained,
     ReportsListed,
+    SettingsChanged,
     StopRequested,
     TableOffered,
     Tick,
@@ -29,7 +31,7 @@
 from shedsill.datagram._packet import Packet
 from shedsill.errors import InvariantError
 
-__all__ = ["Note", "reduce"]
+__all__ = ["reduce"]
 
 
 def reduce(
@@ -49,6 +51,8 @@
     InvariantError
         If the event cannot happen to a node of this role.
     """
+    if isinstance(event, SettingsChanged):
+        return _take_settings(state, event)
     match state:
         case BalancerState():
             return _reduce_balancer(state, event, returned)
@@ -56,6 +60,20 @@
             return _reduce_agent(state, event)
 
 
+def _take_settings(
+    state: BalancerState | AgentState, event: SettingsChanged
+) -> list[Effect]:
+    state.seeds = event.seeds
+    state.flow_lifetime = event.flow_lifetime
+    state.stop_limit = event.stop_limit
+    fields = {
+        "seeds": list(event.seeds),
+        "flow_lifetime": event.flow_lifetime,
+        "stop_limit": event.stop_limit,
+    }
+    return [Note(event=LogEvent.SETTINGS_READ, fields=fields)]
+
+
 def _reduce_balancer(
     state: BalancerState, event: Event, returned: Packet | None
 ) -> list[Effect]:
--- a/shedsill/datagram/_runtime/agent.py
+++ b/shedsill/datagram/_runtime/agent.py
@@ -31,7 +31,7 @@
     Node,
     draw_incarnation,
 )
-from shedsill.datagram.adapter import HeartbeatCodec, NodeSettings, PacketCodec
+from shedsill.datagram.adapter import HeartbeatCodec, PacketCodec, SettingsSource
 from shedsill.errors import DecodeError
 
 HTTP_BAD_REQUEST = 400
@@ -49,12 +49,13 @@
         self,
         state: AgentState,
         *,
-        settings: NodeSettings,
+        source: SettingsSource,
         codec: PacketCodec,
         platform: Platform,
         heartbeats: HeartbeatCodec,
     ) -> None:
-        super().__init__(state, settings=settings, codec=codec, platform=platform)
+        super().__init__(state, source=source, codec=codec, platform=platform)
+        settings = self.settings
         assert settings.upstream is not None
         assert settings.outbound is not None
         self._heartbeats = heartbeats
@@ -149,13 +150,14 @@
 
 
 def make_agent(
-    settings: NodeSettings,
+    source: SettingsSource,
     *,
     codec: PacketCodec,
     platform: Platform,
     heartbeats: HeartbeatCodec,
 ) -> AgentNode:
     """Return an agent; call it inside the running loop."""
+    settings = source.read()
     state = AgentState(
         report=NodeReport(
             host=settings.host,
@@ -171,7 +173,7 @@
     )
     return AgentNode(
         state,
-        settings=settings,
+        source=source,
         codec=codec,
         platform=platform,
         heartbeats=heartbeats,
--- a/shedsill/datagram/_runtime/balancer.py
+++ b/shedsill/datagram/_runtime/balancer.py
@@ -34,7 +34,7 @@
     draw_incarnation,
 )
 from shedsill.datagram._runtime.reports import REPORT_KIND
-from shedsill.datagram.adapter import NodeSettings, PacketCodec, TableSource
+from shedsill.datagram.adapter import PacketCodec, SettingsSource, TableSource
 from shedsill.errors import DecodeError
 
 TABLE_PATH = "/table"
@@ -63,13 +63,14 @@
         self,
         state: BalancerState,
         *,
-        settings: NodeSettings,
+        source: SettingsSource,
         codec: PacketCodec,
         platform: Platform,
-        source: TableSource,
+        table: TableSource,
     ) -> None:
-        super().__init__(state, settings=settings, codec=codec, platform=platform)
-        self._source = source
+        super().__init__(state, source=source, codec=codec, platform=platform)
+        settings = self.settings
+        self._table_source = table
         self._stored_table: object = None
         self._pulling = False
         self._packets = self.open_datagrams(settings.packets, self._take_packet)
@@ -144,7 +145,7 @@
     async def _watch_table(self) -> None:
         changes = watch_changes(
             self.platform,
-            self._source.kind,
+            self._table_source.kind,
             sleep=asyncio.sleep,
             patience=WATCH_PATIENCE,
             backoff=RETRY,
@@ -155,12 +156,12 @@
                 continue
             self.note_platform(None)
             for item in outcome.objects:
-                if item.name == self._source.name:
+                if item.name == self._table_source.name:
                     self._offer_table(item.value, "store")
 
     def _offer_table(self, value: object, source: str) -> None:
         try:
-            table = self._source.decode(value)
+            table = self._table_source.decode(value)
         except DecodeError as error:
             fields = {"source": source, "error": str(error)}
             self.write_note(Note(event=LogEvent.TABLE_REJECTED, fields=fields))
@@ -235,13 +236,14 @@
 
 
 def make_balancer(
-    settings: NodeSettings,
+    source: SettingsSource,
     *,
     codec: PacketCodec,
     platform: Platform,
-    source: TableSource,
+    table: TableSource,
 ) -> BalancerNode:
     """Return a balancer; call it inside the running loop."""
+    settings = source.read()
     state = BalancerState(
         report=NodeReport(
             host=settings.host,
@@ -254,5 +256,5 @@
         stop_limit=settings.stop_limit,
     )
     return BalancerNode(
-        state, settings=settings, codec=codec, platform=platform, source=source
+        state, source=source, codec=codec, platform=platform, table=table
     )
--- a/shedsill/datagram/_runtime/node.py
+++ b/shedsill/datagram/_runtime/node.py
@@ -34,6 +34,7 @@
     Event,
     MessageReceived,
     PacketsDrained,
+    SettingsChanged,
     StopRequested,
     Tick,
 )
@@ -43,8 +44,8 @@
 from shedsill.datagram._runtime.log import JsonLog
 from shedsill.datagram._runtime.metrics import Histogram, format_events
 from shedsill.datagram._runtime.reports import ReportWriter
-from shedsill.datagram.adapter import NodeSettings, PacketCodec
-from shedsill.errors import DecodeError, InvariantError
+from shedsill.datagram.adapter import PacketCodec, SettingsSource
+from shedsill.errors import DecodeError, InvariantError, SettingError
 
 TICK_INTERVAL = 0.04
 """Seconds between ticks: half of the shortest limit that ticks watch over."""
@@ -57,6 +58,9 @@
 SOCKET_BUFFER = 4 * 1024 * 1024
 """Octets of datagrams that may wait while the VM is out of processor quota."""
 
+SETTINGS_INTERVAL = 1.0
+"""Seconds between looks at whether the settings have changed."""
+
 READINESS_PATH = "/-/ready"
 METRICS_PATH = "/metrics"
 HTTP_OK = 200
@@ -79,12 +83,14 @@
         self,
         state: BalancerState | AgentState,
         *,
-        settings: NodeSettings,
+        source: SettingsSource,
         codec: PacketCodec,
         platform: Platform,
     ) -> None:
+        settings = source.read()
         self.state = state
         self.settings = settings
+        self._source = source
         self.codec = codec
         self.platform = platform
         self.failure: Exception | None = None
@@ -113,6 +119,8 @@
         """Serve until a planned stop is complete or an invariant is broken."""
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self._request_stop)
+        self._loop.add_signal_handler(signal.SIGHUP, self._read_settings)
+        self.run_beside(self._watch_settings())
         await self.serve(self.settings.status, self.answer_status)
         if self.settings.metrics is not None:
             await self.serve(self.settings.metrics, self._answer_metrics)
@@ -138,6 +146,32 @@
     def _request_stop(self) -> None:
         self.dispatch(StopRequested(now=self.now))
 
+    async def _watch_settings(self) -> None:
+        """Notice settings that change without a signal."""
+        while True:
+            await asyncio.sleep(SETTINGS_INTERVAL)
+            if self._source.has_changed():
+                self._read_settings()
+
+    def _read_settings(self) -> None:
+        """Put changed settings in force; keep those before if they are bad."""
+        try:
+            settings = self._source.read()
+        except SettingError as error:
+            fields = {"error": str(error)}
+            self.write_note(Note(event=LogEvent.SETTINGS_REJECTED, fields=fields))
+            return
+        if settings == self.settings:
+            return
+        self.settings = settings
+        self.dispatch(
+            SettingsChanged(
+                seeds=settings.seeds,
+                flow_lifetime=settings.flow_lifetime,
+                stop_limit=settings.stop_limit,
+            )
+        )
+
     def _close(self) -> None:
         for task in list(self._tasks):
             task.cancel()
--- a/shedsill/datagram/adapter.py
+++ b/shedsill/datagram/adapter.py
@@ -21,6 +21,7 @@
     "HeartbeatCodec",
     "NodeSettings",
     "PacketCodec",
+    "SettingsSource",
     "TableSource",
 ]
 
@@ -77,6 +78,18 @@
     stop_limit: float = 5.0
 
 
+class SettingsSource(Protocol):
+    """Where a node's settings come from."""
+
+    def read(self) -> NodeSettings:
+        """Read and check the settings; raises `SettingError`."""
+        ...
+
+    def has_changed(self) -> bool:
+        """Whether the settings may differ from those read last."""
+        ...
+
+
 class PacketCodec(Protocol):
     """Reads and writes the packets of one platform."""
 
--- a/shedsill/platform/node.py
+++ b/shedsill/platform/node.py
@@ -13,14 +13,14 @@
 from shedsill.datagram._runtime.node import Node
 from shedsill.errors import SettingError
 from shedsill.platform.packets import HeadCodec
-from shedsill.platform.settings import PlatformSettings, read_settings
+from shedsill.platform.settings import PlatformSettings, SettingsFile
 from shedsill.platform.store import ObjectStore
 
 EXIT_FAILED = 1
 EXIT_USAGE = 2
 
 
-def make_node(settings: PlatformSettings) -> Node:
+def make_node(file: SettingsFile, settings: PlatformSettings) -> Node:
     """Return the node of a role, importing only what it needs."""
     store = ObjectStore(settings.store)
     match settings.node.role:
@@ -29,23 +29,23 @@
             from shedsill.platform.manifest import TABLE_SOURCE
 
             return make_balancer(
-                settings.node, codec=HeadCodec(), platform=store, source=TABLE_SOURCE
+                file, codec=HeadCodec(), platform=store, table=TABLE_SOURCE
             )
         case Role.AGENT:
             from shedsill.datagram._runtime.agent import make_agent
             from shedsill.platform.heartbeats import InstanceCalls
 
             return make_agent(
-                settings.node,
+                file,
                 codec=HeadCodec(),
                 platform=store,
                 heartbeats=InstanceCalls(),
             )
 
 
-async def run_node(settings: PlatformSettings) -> int:
+async def run_node(file: SettingsFile, settings: PlatformSettings) -> int:
     """Run until the planned stop is complete; return the exit code."""
-    node = make_node(settings)
+    node = make_node(file, settings)
     await node.run()
     return EXIT_FAILED if node.failure else 0
 
@@ -56,9 +56,10 @@
     if len(sys.argv) != 2 or sys.argv[1] not in roles:
         print(f"usage: python -m shedsill.platform {'|'.join(roles)}", file=sys.stderr)
         return EXIT_USAGE
+    file = SettingsFile(roles[sys.argv[1]])
     try:
-        settings = read_settings(roles[sys.argv[1]])
+        settings = file.read_all()
     except SettingError as error:
         print(f"shedsill: {error}", file=sys.stderr)
         return EXIT_USAGE
-    return asyncio.run(run_node(settings))
+    return asyncio.run(run_node(file, settings))
--- a/shedsill/platform/settings.py
+++ b/shedsill/platform/settings.py
@@ -13,7 +13,7 @@
 from shedsill.datagram.adapter import NodeSettings
 from shedsill.errors import DocumentError, SettingError
 
-__all__ = ["PlatformSettings", "read_settings"]
+__all__ = ["PlatformSettings", "SettingsFile", "parse_settings"]
 
 PATH_VARIABLE = "SHEDSILL_BOOT"
 METRICS_VARIABLE = "SHEDSILL_METRICS_PORT"
@@ -82,21 +82,35 @@
     store: Address
 
 
-def read_settings(role: Role) -> PlatformSettings:
-    """Read and check the settings file.
-
-    Raises
-    ------
-    SettingError
-        If a setting is missing or not allowed.
-    """
-    path = os.environ.get(PATH_VARIABLE, "")
-    try:
-        text = pathlib.Path(path).read_bytes()
-    except OSError as error:
-        allowed = "the path of a file that can be read"
-        raise SettingError(PATH_VARIABLE, path, allowed) from error
-    return parse_settings(text, role)
+class SettingsFile:
+    """Implements `shedsill.datagram.adapter.SettingsSource`."""
+
+    def __init__(self, role: Role) -> None:
+        self._role = role
+        self._path = pathlib.Path(os.environ.get(PATH_VARIABLE, ""))
+        self._seen = 0.0
+
+    def read(self) -> NodeSettings:
+        """Read and check the node's settings; raises `SettingError`."""
+        return self.read_all().node
+
+    def read_all(self) -> PlatformSettings:
+        """Read and check everything; raises `SettingError`."""
+        try:
+            self._seen = self._path.stat().st_mtime
+            text = self._path.read_bytes()
+        except OSError as error:
+            allowed = "the path of a file that can be read"
+            raise SettingError(PATH_VARIABLE, str(self._path), allowed) from error
+        return parse_settings(text, self._role)
+
+    def has_changed(self) -> bool:
+        """Whether the file was written since it was read last."""
+        try:
+            return self._path.stat().st_mtime != self._seen
+        except OSError:
+            # Being replaced at this moment; the next look will find it.
+            return False
 
 
 def parse_settings(text: bytes, role: Role) -> PlatformSettings:
--- a/shedsill/testing/deployment.py
+++ b/shedsill/testing/deployment.py
@@ -34,6 +34,7 @@
 from shedsill.testing.ports import find_ports
 
 BEAT = 0.3
+CONTACT_TIME = 4.0
 START_LIMIT = 20.0
 END_LIMIT = 20.0
 POLL = 0.02
@@ -86,6 +87,8 @@
     ----------
     errors : list of Exception
         Broken promises that a caller or an upstream has seen.
+    calm_after : dict of str to float
+        Until when each VM counts as disturbed.
     """
 
     folder: pathlib.Path
@@ -97,6 +100,7 @@
     routers: dict[bytes, str] = field(factory=dict)
     errors: list[Exception] = field(factory=list)
     version: int = 0
+    calm_after: dict[str, float] = field(factory=dict)
     ports: dict[str, int] = field(factory=dict)
     _started: set[str] = field(factory=set)
     _boots: int = 0
@@ -213,6 +217,11 @@
             )
         return node
 
+    def change_settings(self, host: str, **changes: object) -> None:
+        """Write a node's settings file anew; it gets no signal."""
+        settings = {**self._make_settings(self.nodes[host]), **changes}
+        (self.folder / f"{host}.json").write_text(json.dumps(settings))
+
     def _make_settings(self, node: NodeProcess) -> dict:
         def address(name: str) -> str:
             return f"{node.host}:{self.ports[name]}"
@@ -348,15 +357,29 @@
             service=(SERVICE_HOST, self._get_port(service)),
             send=lambda data: self._send_in(caller, data),
             schedule=self._schedule,
-            is_held=lambda flow: any(
-                u.alive and flow in u.flows for u in self.upstreams.values()
-            ),
+            is_held=self._is_held,
         )
         self.callers[caller.flow] = caller
         self.routers[caller.flow] = balancer
         caller.begin()
         return caller
 
+    def disturb(self, host: str, seconds: float) -> None:
+        """Note an unplanned fault on a VM; it counts for `CONTACT_TIME` more."""
+        until = asyncio.get_running_loop().time() + seconds + CONTACT_TIME
+        self.calm_after[host] = max(self.calm_after.get(host, 0.0), until)
+
+    def _is_held(self, flow: bytes) -> bool:
+        """Whether an undisturbed upstream holds a flow, on undisturbed VMs."""
+        now = asyncio.get_running_loop().time()
+        return any(
+            upstream.alive
+            and flow in upstream.flows
+            and now >= self.calm_after.get(host, 0.0)
+            and now >= self.calm_after.get(self.routers[flow], 0.0)
+            for host, upstream in self.upstreams.items()
+        )
+
     def _send_in(self, caller: Caller, data: bytes) -> None:
         sender = self._senders.get(CALLER_HOST)
         if sender is None:
--- a/shedsill/tests/test_platform_processes.py
+++ b/shedsill/tests/test_platform_processes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import pathlib
+import signal
 from collections.abc import Awaitable, Callable
 
 from shedsill.testing.deployment import Deployment
@@ -98,3 +99,28 @@
         assert not any(c.flow in deployment.upstreams[A1].runs for c in late)
 
     play(tmp_path, scenario)
+
+
+def test_settings_are_read_again(tmp_path: pathlib.Path) -> None:
+    """By SIGHUP and without it; bad ones are refused, and nothing ends."""
+
+    async def scenario(deployment: Deployment) -> None:
+        deployment.change_settings(B1, seeds=["127.0.1.2:99"])
+        deployment.nodes[B1].signal(signal.SIGHUP)
+        deployment.change_settings(B2, seeds=["127.0.1.1:99"])
+        deployment.change_settings(A1, app="nowhere")
+        wanted = {
+            B1: "settings_read",
+            B2: "settings_read",
+            A1: "settings_rejected",
+        }
+        async with asyncio.timeout(10.0):
+            for host, name in wanted.items():
+                while name not in {line["name"] for line in deployment.read_log(host)}:
+                    await asyncio.sleep(0.05)
+        assert all(node.running for node in deployment.nodes.values())
+        callers = [deployment.call("dispatcher", B1) for _ in range(4)]
+        await deployment.settle(callers)
+        assert {caller.outcome for caller in callers} == {"answered"}
+
+    play(tmp_path, scenario)
