--- a/shedsill/_catalogue.py
+++ b/shedsill/_catalogue.py
@@ -111,6 +111,8 @@
     FLOWS_FREED = Entry(609, Level.INFO, "flows of an ended upstream reset")
     REQUEST_HELD = Entry(610, Level.INFO, "request held: no slot is free")
     REQUEST_PASSED_ON = Entry(611, Level.INFO, "held request given to the upstream")
+    REQUEST_ANSWERED = Entry(612, Level.INFO, "upstream has begun to answer")
+    FLOW_TAKEN = Entry(613, Level.INFO, "upstream has taken a new flow")
     UPSTREAM_CHANGED = Entry(620, Level.INFO, "upstream's state has changed")
     UPSTREAM_SILENT = Entry(621, Level.WARNING, "upstream does not answer")
     UPSTREAM_UNREACHED = Entry(623, Level.INFO, "upstream's port was not reached")
--- a/shedsill/datagram/_agent_packets.py
+++ b/shedsill/datagram/_agent_packets.py
@@ -145,7 +145,11 @@
         initial_seq=packet.seq,
         load=make_load(state, now),
     )
-    return [SendMessage(flow.balancer, taken)]
+    fields = {"flow": packet.flow, "balancer": flow.balancer, "busy": state.busy}
+    return [
+        SendMessage(flow.balancer, taken),
+        Note(event=LogEvent.FLOW_TAKEN, fields=fields),
+    ]
 
 
 def _take_content(
@@ -166,7 +170,7 @@
         flow.closed = True
     effects += _slots.take_acknowledgement(state, flow, packet, now)
     if packet.length:
-        effects += _slots.finish_request(state, flow, now, answered=True)
+        effects += _slots.finish_request(state, packet.flow, flow, now, answered=True)
     elif flow.closed and packet.flags & (FIN | RST):
         effects += _slots.drop_request(state, packet.flow, now)
     return effects
--- a/shedsill/datagram/_slots.py
+++ b/shedsill/datagram/_slots.py
@@ -138,7 +138,7 @@
 
 
 def finish_request(
-    state: AgentState, flow: AgentFlow, now: float, *, answered: bool
+    state: AgentState, key: bytes, flow: AgentFlow, now: float, *, answered: bool
 ) -> list[Effect]:
     """Note that a request has its answer or has ended; pass on the next one."""
     if not flow.waiting or (answered and not flow.working):
@@ -147,7 +147,7 @@
     change_busy(state, -1, now)
     effects: list[Effect] = []
     if answered:
-        effects.append(ObserveLatency(now - flow.waiting_since))
+        effects += _note_answered(state, key, now - flow.waiting_since)
     if flow.working:
         flow.working = False
         state.working -= 1
@@ -155,6 +155,19 @@
     return effects
 
 
+def _note_answered(state: AgentState, key: bytes, seconds: float) -> list[Effect]:
+    fields = {
+        "flow": key,
+        "took_ms": round(seconds * 1000),
+        "working": state.working,
+        "held": len(state.held),
+    }
+    return [
+        ObserveLatency(seconds),
+        Note(event=LogEvent.REQUEST_ANSWERED, fields=fields),
+    ]
+
+
 def _pass_next(state: AgentState, now: float) -> list[Effect]:
     effects: list[Effect] = []
     while state.held and not _is_full(state):
@@ -194,7 +207,7 @@
     flow = state.flows.get(key)
     if flow is None:
         return []
-    return finish_request(state, flow, now, answered=False)
+    return finish_request(state, key, flow, now, answered=False)
 
 
 def take_tick(state: AgentState, now: float) -> list[Effect]:
@@ -203,9 +216,9 @@
     for key, held in list(state.held.items()):
         if now >= held.until:
             effects += _pass_on(state, key, now)
-    for flow in state.flows.values():
+    for key, flow in state.flows.items():
         if flow.working and now - flow.waiting_since > WAITING_LIMIT:
-            effects += finish_request(state, flow, now, answered=False)
+            effects += finish_request(state, key, flow, now, answered=False)
     return effects
 
 
