--- /dev/null
+++ b/benchmarks/days/__main__.py
@@ -0,0 +1,44 @@
+"""Play the project's own days on sites of the users' bench, one after another.
+
+``python -m benchmarks.days BENCH SITE...`` runs each day of this folder on each
+site and ends with 1 if a day broke a rule or had a fault.  The bench is not part
+of this project, so its path is given.
+"""
+
+from __future__ import annotations
+
+import pathlib
+import re
+import subprocess
+import sys
+
+import click
+
+DAYS = pathlib.Path(__file__).parent
+
+
+@click.command()
+@click.argument("bench")
+@click.argument("sites", nargs=-1, required=True)
+@click.option("--why", default="the project's own days", help="For the journal.")
+def main(bench: str, sites: tuple[str, ...], why: str) -> None:
+    """Run every day on every site."""
+    failed = []
+    for site in sites:
+        for day in sorted(DAYS.glob("*.toml")):
+            text = subprocess.run(
+                [bench, "run", site, str(day), "--why", why],
+                capture_output=True,
+                text=True,
+                check=False,
+            ).stdout
+            line = next((li for li in text.splitlines() if re.match(day.stem, li)), "")
+            click.echo(f"{pathlib.Path(site).stem}: {line or text[-300:]}")
+            if not line or "BROKEN" in line or "FAULT" in line.upper():
+                failed.append(f"{site} {day.stem}")
+    click.echo(f"failed: {failed or 'none'}")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
