--- a/benchmarks/days/__init__.py
+++ b/benchmarks/days/__init__.py
@@ -0,0 +1,1 @@
+"""Days of the project's own for the users' bench."""
--- a/shedsill/datagram/_agent_state.py
+++ b/shedsill/datagram/_agent_state.py
@@ -13,13 +13,14 @@
 from shedsill.datagram._effects import Effect, SendMessage, StoreReport
 from shedsill.datagram._messages import (
     Announcement,
+    FlowDenied,
     Load,
     NodeReport,
     PacketReturned,
     ReturnReason,
     UpstreamState,
 )
-from shedsill.datagram._packet import RST, Packet
+from shedsill.datagram._packet import RST, Packet, is_opening
 
 if TYPE_CHECKING:
     from shedsill.datagram._slots import HeldRequest
@@ -173,12 +174,14 @@
     """Hand a packet back to its balancer."""
     if packet.flags & RST:
         return []
-    message = PacketReturned(
-        packet=packet.data,
-        boot=state.report.boot,
-        reason=reason,
-        load=make_load(state, now),
-    )
+    load = make_load(state, now)
+    boot = state.report.boot
+    if is_opening(packet):
+        message = PacketReturned(
+            packet=packet.data, boot=boot, reason=reason, load=load
+        )
+    else:
+        message = FlowDenied(flow=packet.flow, boot=boot, reason=reason, load=load)
     fields = {
         "flow": packet.flow,
         "reason": reason.value,
--- a/shedsill/datagram/_balancer.py
+++ b/shedsill/datagram/_balancer.py
@@ -30,6 +30,7 @@
 from shedsill.datagram._forwarding import is_newer
 from shedsill.datagram._messages import (
     Announcement,
+    FlowDenied,
     FlowTaken,
     Located,
     PacketReturned,
@@ -145,6 +146,9 @@
             _note_load(state, source, message, now)
             assert returned is not None
             return _take_returned(state, message, returned, source, now)
+        case FlowDenied():
+            _note_load(state, source, message, now)
+            return _take_denied(state, message, source, now)
     return []
 
 
@@ -167,7 +171,7 @@
 def _note_load(
     state: BalancerState,
     source: str,
-    message: FlowTaken | Located | PacketReturned,
+    message: FlowTaken | Located | PacketReturned | FlowDenied,
     now: float,
 ) -> None:
     view = state.nodes.upstreams.get(source)
@@ -188,20 +192,30 @@
         "reason": returned.reason.value,
     }
     note = Note(event=LogEvent.PACKET_RETURNED, fields=fields)
-    if is_opening(packet):
-        return [note, *_openings.offer_elsewhere(state, packet, source, now)]
-    flow = state.flows.get(packet.flow)
+    return [note, *_openings.offer_elsewhere(state, packet, source, now)]
+
+
+def _take_denied(
+    state: BalancerState, denied: FlowDenied, source: str, now: float
+) -> list[Effect]:
+    """Correct what this balancer believed of a flow, and look for it."""
+    fields = {
+        "flow": denied.flow,
+        "upstream": source,
+        "reason": denied.reason.value,
+    }
+    note = Note(event=LogEvent.FLOW_DENIED, fields=fields)
+    flow = state.flows.get(denied.flow)
     if flow is not None and source in flow.offered:
         del flow.offered[source]
-    if flow is not None and (flow.host == source or not (flow.host or flow.offered)):
-        del state.flows[packet.flow]
-        flow = None
-    if flow is not None:
+    if flow is None:
+        return [note, *_locating.take_denial(state, denied.flow, source)]
+    if flow.host != source and (flow.host or flow.offered):
         return [note]
-    return [
-        note,
-        *_locating.search_without(state, packet, source, returned.reason, now),
-    ]
+    del state.flows[denied.flow]
+    state.placing.pop(denied.flow, None)
+    ack = flow.caller_ack
+    return [note, *_locating.search_again(state, denied.flow, source, ack, now)]
 
 
 def take_table(state: BalancerState, event: TableOffered) -> list[Effect]:
--- a/shedsill/datagram/_events.py
+++ b/shedsill/datagram/_events.py
@@ -136,6 +136,13 @@
     now: float
 
 
+class EarlierReportRead(Struct, frozen=True, kw_only=True):
+    """The store holds a report that an earlier run of this node has left."""
+
+    report: NodeReport
+    now: float
+
+
 class SettingsChanged(Struct, frozen=True, kw_only=True):
     """The operator's settings for this node were read again.
 
@@ -170,6 +177,7 @@
     | UpstreamChecked
     | TableOffered
     | ReportsListed
+    | EarlierReportRead
     | SettingsChanged
     | StopRequested
 )
--- a/shedsill/datagram/_locating.py
+++ b/shedsill/datagram/_locating.py
@@ -14,7 +14,7 @@
 from shedsill.datagram import _searches
 from shedsill.datagram._balancer_state import BalancerFlow, BalancerState, forward
 from shedsill.datagram._effects import Effect, ResetFlow, SendMessage
-from shedsill.datagram._messages import Locate, Located, ReturnReason
+from shedsill.datagram._messages import Locate, Located
 from shedsill.datagram._packet import RST, Packet
 from shedsill.datagram._searches import Phase, Search
 
@@ -33,7 +33,9 @@
         if len(state.searches) >= _searches.MAX_SEARCHES:
             return [Note(event=LogEvent.SEARCH_DROPPED, fields={"flow": packet.flow})]
         hosts = _list_answering(state)
-        state.searches[packet.flow] = _searches.begin_search(packet, hosts, now)
+        search = _searches.begin_search(packet.ack, hosts, now)
+        search.packets.append(packet)
+        state.searches[packet.flow] = search
         _ask(state, packet.flow, hosts)
         return []
     _searches.hold_packet(search, packet, now)
@@ -106,20 +108,22 @@
 
 def conclude(state: BalancerState, flow: bytes, search: Search) -> list[Effect]:
     """Act on a search that every agent has answered."""
-    if search.waiting or not search.packets:
+    if search.waiting:
         return []
     if search.phase == Phase.ASKING and search.unsure:
+        if not search.packets:
+            return []
         search.phase = Phase.TRYING
         search.waiting = set(search.unsure)
-        return _try_packet(state, search, search.packets[0])
+        smallest = min(search.packets, key=lambda packet: len(packet.data))
+        return _try_packet(state, search, smallest)
     if not _knows_all(state, search.seen):
         return []
-    packet = search.packets[-1]
     del state.searches[flow]
     state.resets[flow] = search.seen
     fields = {"flow": flow, "asked": len(state.nodes.upstreams)}
     return [
-        ResetFlow(flow, packet.ack),
+        ResetFlow(flow, search.caller_ack),
         Note(event=LogEvent.FLOW_ORPHANED, fields=fields),
     ]
 
@@ -144,28 +148,27 @@
     return effects
 
 
-def search_without(
-    state: BalancerState,
-    packet: Packet,
-    source: str,
-    reason: ReturnReason,
-    now: float,
-) -> list[Effect]:
-    """Look for a flow whose packet an agent has handed back."""
-    search = state.searches.get(packet.flow)
-    if packet.flow in state.resets:
-        return []
+def take_denial(state: BalancerState, flow: bytes, source: str) -> list[Effect]:
+    """Note that an upstream does not hold a flow that is searched for."""
+    search = state.searches.get(flow)
     if search is None:
-        if packet.flags & RST or len(state.searches) >= _searches.MAX_SEARCHES:
-            return []
-        hosts = [host for host in _list_answering(state) if host != source]
-        search = _searches.begin_search(packet, hosts, now)
-        state.searches[packet.flow] = search
-        _ask(state, packet.flow, hosts)
+        return []
     search.waiting.discard(source)
-    if reason == ReturnReason.WRONG_SERVICE:
-        search.unsure.discard(source)
-    return conclude(state, packet.flow, search)
+    search.unsure.discard(source)
+    return conclude(state, flow, search)
+
+
+def search_again(
+    state: BalancerState, flow: bytes, source: str, caller_ack: int, now: float
+) -> list[Effect]:
+    """Look for a flow that the agent named here does not hold any more."""
+    if flow in state.resets or len(state.searches) >= _searches.MAX_SEARCHES:
+        return []
+    hosts = [host for host in _list_answering(state) if host != source]
+    search = _searches.begin_search(caller_ack, hosts, now)
+    state.searches[flow] = search
+    _ask(state, flow, hosts)
+    return conclude(state, flow, search)
 
 
 def ask_searched(state: BalancerState, now: float) -> list[Effect]:
--- a/shedsill/datagram/_messages.py
+++ b/shedsill/datagram/_messages.py
@@ -173,8 +173,21 @@
     WRONG_SERVICE = "another service"
 
 
+class FlowDenied(Struct, frozen=True, kw_only=True, array_like=True):
+    """A packet came whose flow the agent's upstream does not hold.
+
+    The packet does not come back: it may be large, and a restart of many nodes
+    denies many flows at once.
+    """
+
+    flow: bytes
+    boot: str
+    reason: ReturnReason
+    load: Load
+
+
 class PacketReturned(Struct, frozen=True, kw_only=True, array_like=True):
-    """A packet that the agent's upstream did not take.
+    """An opening packet that the agent's upstream did not take.
 
     Attributes
     ----------
@@ -188,7 +201,16 @@
     load: Load
 
 
-Message = Announcement | Probe | Roster | FlowTaken | Locate | Located | PacketReturned
+Message = (
+    Announcement
+    | Probe
+    | Roster
+    | FlowTaken
+    | Locate
+    | Located
+    | PacketReturned
+    | FlowDenied
+)
 
 _CLASSES: tuple[type, ...] = (
     Announcement,
@@ -198,6 +220,7 @@
     Locate,
     Located,
     PacketReturned,
+    FlowDenied,
 )
 _CODES = {cls: bytes([code]) for code, cls in enumerate(_CLASSES)}
 _DECODERS = [msgspec.msgpack.Decoder(cls) for cls in _CLASSES]
--- a/shedsill/datagram/_reducer.py
+++ b/shedsill/datagram/_reducer.py
@@ -14,6 +14,7 @@
 from shedsill.datagram._effects import Effect
 from shedsill.datagram._events import (
     CallerPacket,
+    EarlierReportRead,
     Event,
     ForwardedPacket,
     HeartbeatReceived,
@@ -86,6 +87,8 @@
             return _balancer.take_message(state, event, returned)
         case Tick():
             return _balancer.take_tick(state, event)
+        case EarlierReportRead():
+            return []
         case ReportsListed():
             return _roster.take_listed(state, event)
         case TableOffered():
@@ -112,6 +115,8 @@
             return _upstream.take_heartbeat(state, event)
         case UpstreamLeft():
             return _upstream.take_leave(state, event)
+        case EarlierReportRead():
+            return _upstream.take_earlier_report(state, event)
         case UpstreamChecked():
             return _upstream.take_checked(state, event)
         case StopRequested():
--- a/shedsill/datagram/_runtime/node.py
+++ b/shedsill/datagram/_runtime/node.py
@@ -31,6 +31,7 @@
     StoreReport,
 )
 from shedsill.datagram._events import (
+    EarlierReportRead,
     Event,
     MessageReceived,
     PacketsDrained,
@@ -38,7 +39,12 @@
     StopRequested,
     Tick,
 )
-from shedsill.datagram._messages import PacketReturned, decode_message, encode_message
+from shedsill.datagram._messages import (
+    PacketReturned,
+    decode_message,
+    encode_message,
+    load_report,
+)
 from shedsill.datagram._reducer import reduce
 from shedsill.datagram._runtime.http import Handler, Response, serve_http
 from shedsill.datagram._runtime.log import JsonLog
@@ -99,7 +105,11 @@
             "shedsill_latency_seconds",
             "Balancer: offer to answer of an opening; agent: request to answer",
         )
-        self._reports = ReportWriter(platform=platform, write_note=self.write_note)
+        self._reports = ReportWriter(
+            platform=platform,
+            write_note=self.write_note,
+            take_earlier=self._take_earlier_report,
+        )
         self._loop = asyncio.get_running_loop()
         self._exited = asyncio.Event()
         self._servers: list[asyncio.Server] = []
@@ -172,6 +182,16 @@
             )
         )
 
+    def _take_earlier_report(self, value: object) -> None:
+        """Dispatch what an earlier run of this node left in the store."""
+        try:
+            report = load_report(value)
+        except DecodeError as error:
+            fields = {"source": "store: own report", "error": str(error)}
+            self.write_note(Note(event=LogEvent.MESSAGE_REFUSED, fields=fields))
+            return
+        self.dispatch(EarlierReportRead(report=report, now=self.now))
+
     def _close(self) -> None:
         for task in list(self._tasks):
             task.cancel()
--- a/shedsill/datagram/_runtime/reports.py
+++ b/shedsill/datagram/_runtime/reports.py
@@ -39,14 +39,21 @@
         Of the stored object, as far as known; 0 where it is not.
     wanted : NodeReport or None
         What the store should hold.
+    take_earlier : callable
+        Gets the value that an earlier run of this node has left in the store.
     removing : bool
         Whether `wanted` is to be removed rather than stored.
     """
 
     def __init__(
-        self, *, platform: Platform, write_note: Callable[[Note], None]
+        self,
+        *,
+        platform: Platform,
+        write_note: Callable[[Note], None],
+        take_earlier: Callable[[object], None],
     ) -> None:
         self.platform = platform
+        self._take_earlier = take_earlier
         self.write_note = write_note
         self.version = 0
         self.wanted: NodeReport | None = None
@@ -106,6 +113,8 @@
                     failures = 0
                     self._settle(report)
                 case Conflict(current=current):
+                    if current is not None and self.version == 0:
+                        self._take_earlier(current.value)
                     self.version = current.version if current else 0
                     failures += 1
                     if self._is_done(outcome, report, removing):
--- a/shedsill/datagram/_searches.py
+++ b/shedsill/datagram/_searches.py
@@ -46,24 +46,30 @@
         When agents were last asked.
     seen : float
         When the last packet of the flow came.
+    caller_ack : int
+        What the caller expects next, as its last packet said.
     """
 
     packets: list[Packet]
     waiting: set[str]
     asked: float
     seen: float
+    caller_ack: int
     phase: Phase = Phase.ASKING
     unsure: set[str] = field(default_factory=set)
 
 
-def begin_search(packet: Packet, hosts: Iterable[str], now: float) -> Search:
-    """Return a search that starts now."""
-    return Search(packets=[packet], waiting=set(hosts), asked=now, seen=now)
+def begin_search(caller_ack: int, hosts: Iterable[str], now: float) -> Search:
+    """Return a search that starts now, without packets so far."""
+    return Search(
+        packets=[], waiting=set(hosts), asked=now, seen=now, caller_ack=caller_ack
+    )
 
 
 def hold_packet(search: Search, packet: Packet, now: float) -> None:
     """Hold another packet of the flow; the oldest one goes when there are many."""
     search.seen = now
+    search.caller_ack = packet.ack
     search.packets.append(packet)
     if len(search.packets) > MAX_HELD_PACKETS:
         del search.packets[0]
@@ -71,7 +77,7 @@
 
 def is_due(search: Search, now: float) -> bool:
     """Whether the agents that have not answered are to be asked again."""
-    return bool(search.packets) and now - search.asked >= SEARCH_TIMEOUT
+    return now - search.asked >= SEARCH_TIMEOUT
 
 
 def is_over(search: Search, now: float) -> bool:
--- a/shedsill/datagram/_upstream.py
+++ b/shedsill/datagram/_upstream.py
@@ -15,6 +15,7 @@
 )
 from shedsill.datagram._effects import Effect, RemoveReport, ResetFlow
 from shedsill.datagram._events import (
+    EarlierReportRead,
     Heartbeat,
     HeartbeatReceived,
     UpstreamChecked,
@@ -83,6 +84,26 @@
     return free_flows(state, "upstream restarted", now)
 
 
+def take_earlier_report(state: AgentState, event: EarlierReportRead) -> list[Effect]:
+    """Learn from the last run of this agent whether the upstream is the same.
+
+    If it has restarted since, it holds no flow from before this agent's start,
+    and packets of unknown flows need not be tried on it.
+    """
+    earlier = event.report
+    if earlier.incarnation == state.report.incarnation:
+        return []
+    known = earlier.boot and state.report.boot
+    if known and earlier.boot != state.report.boot:
+        state.complete = True
+    fields = {
+        "boot": state.report.boot,
+        "earlier": earlier.boot,
+        "complete": state.complete,
+    }
+    return [Note(event=LogEvent.EARLIER_REPORT, fields=fields)]
+
+
 def free_flows(state: AgentState, reason: str, now: float) -> list[Effect]:
     """Reset every open flow: the run of the upstream that held them has ended."""
     effects: list[Effect] = []
--- a/shedsill/testing/datagrams.py
+++ b/shedsill/testing/datagrams.py
@@ -34,6 +34,7 @@
 )
 from shedsill.datagram._events import (
     CallerPacket,
+    EarlierReportRead,
     Event,
     ForwardedPacket,
     Heartbeat,
@@ -333,6 +334,7 @@
             case ResetFlow(flow=flow, seq=seq):
                 self._send_out(host, CODEC.encode_reset(flow, seq))
             case StoreReport(report=report) if self.store_up:
+                self._tell_earlier(host, report)
                 self.stored[report.host] = report
                 self._tell_watchers(report, removed=False)
             case RemoveReport(report=report) | ForgetReport(report=report) if (
@@ -350,6 +352,13 @@
             case Note():
                 self.notes.append((host, effect))
 
+    def _tell_earlier(self, host: str, report: NodeReport) -> None:
+        """Tell a node what an earlier run of it has left in the store."""
+        earlier = self.stored.get(host)
+        if earlier is not None and earlier.incarnation != report.incarnation:
+            read = EarlierReportRead(report=earlier, now=self.now)
+            self._schedule(LATENCY, lambda: self._dispatch(host, read))
+
     def _send_out(self, host: str, data: bytes) -> None:
         if host not in self.cut:
             self._schedule(LATENCY, lambda: self._reach_caller(data))
--- a/shedsill/tests/test_datagram_flows.py
+++ b/shedsill/tests/test_datagram_flows.py
@@ -331,3 +331,41 @@
         world.run(8.0)
     assert A1 not in world.stored
     assert A1 not in world.nodes[B1].nodes.upstreams
+
+
+def test_a_search_costs_few_octets_after_a_power_loss(world: World) -> None:
+    """Found on played days: each dead flow's packets went to every agent and back.
+
+    The agents learn from the store that their upstreams have restarted, so that
+    they can deny the flows of before without being given packets.
+    """
+    callers = [world.call("dispatcher", B1) for _ in range(4)]
+    world.run(0.02)
+    assert all(caller.open for caller in callers)
+    for host in (A1, A2, OTHER, B1, B2):
+        world.kill(host)
+    for host, service in ((A1, "dispatcher"), (A2, "dispatcher"), (OTHER, "intake")):
+        world.crash_upstream(host)
+        world.start_upstream(host, service)
+        world.add_agent(host, service)
+    world.run(0.05)
+    for host in (B1, B2):
+        world.add_balancer(host)
+    world.run(0.5)
+    assert {caller.outcome for caller in callers} == {"reset"}
+    assert count(world, LogEvent.PACKET_HANDED_BACK) == 0
+
+
+def test_a_flow_is_tried_once_on_each_unsure_upstream(world: World) -> None:
+    caller = open_flow(world)
+    world.upstreams[world.find_holder(caller)].flows.clear()
+    for host in (A1, A2):
+        world.kill(host)
+        world.add_agent(host, "dispatcher")
+    world.kill(B1)
+    world.add_balancer(B1)
+    for _ in range(12):
+        caller.send_request()
+    world.run(0.5)
+    assert caller.outcome == "reset"
+    assert count(world, LogEvent.PACKET_HANDED_BACK) == 2
--- a/shedsill/tests/test_platform_store.py
+++ b/shedsill/tests/test_platform_store.py
@@ -184,7 +184,11 @@
 
 
 def make_writer(store: ObjectStore) -> tuple[ReportWriter, Callable]:
-    writer = ReportWriter(platform=store, write_note=lambda note: None)
+    writer = ReportWriter(
+        platform=store,
+        write_note=lambda note: None,
+        take_earlier=lambda value: None,
+    )
     tasks = set()
 
     def run_beside(coroutine) -> None:
