--- a/shedsill/_catalogue.py
+++ b/shedsill/_catalogue.py
@@ -113,7 +113,7 @@
     REQUEST_PASSED_ON = Entry(611, Level.INFO, "held request given to the upstream")
     REQUEST_ANSWERED = Entry(612, Level.INFO, "upstream has begun to answer")
     FLOW_TAKEN = Entry(613, Level.INFO, "upstream has taken a new flow")
-    FLOW_DENIED = Entry(614, Level.INFO, "an agent does not hold the flow")
+    FLOW_DENIED = Entry(614, Level.INFO, "agent does not hold a flow it was known for")
     UPSTREAM_CHANGED = Entry(620, Level.INFO, "upstream's state has changed")
     UPSTREAM_SILENT = Entry(621, Level.WARNING, "upstream does not answer")
     UPSTREAM_UNREACHED = Entry(623, Level.INFO, "upstream's port was not reached")
--- a/shedsill/datagram/_balancer.py
+++ b/shedsill/datagram/_balancer.py
@@ -199,19 +199,19 @@
     state: BalancerState, denied: FlowDenied, source: str, now: float
 ) -> list[Effect]:
     """Correct what this balancer believed of a flow, and look for it."""
+    flow = state.flows.get(denied.flow)
+    if flow is not None and source in flow.offered:
+        del flow.offered[source]
+    if flow is None:
+        return _locating.take_denial(state, denied.flow, source)
+    if flow.host != source and (flow.host or flow.offered):
+        return []
     fields = {
         "flow": denied.flow,
         "upstream": source,
         "reason": denied.reason.value,
     }
     note = Note(event=LogEvent.FLOW_DENIED, fields=fields)
-    flow = state.flows.get(denied.flow)
-    if flow is not None and source in flow.offered:
-        del flow.offered[source]
-    if flow is None:
-        return [note, *_locating.take_denial(state, denied.flow, source)]
-    if flow.host != source and (flow.host or flow.offered):
-        return [note]
     del state.flows[denied.flow]
     state.placing.pop(denied.flow, None)
     ack = flow.caller_ack
--- a/shedsill/datagram/_balancer_state.py
+++ b/shedsill/datagram/_balancer_state.py
@@ -58,6 +58,8 @@
         The flows whose opening packet has no answer yet.
     started : float
         When this balancer started.
+    isolated : bool
+        Whether this balancer hears from so few agents that it is to blame.
     introduced : bool
         Whether another balancer has told which nodes it knows.
     ahead : dict of str to str
@@ -80,6 +82,7 @@
     placing: dict[bytes, BalancerFlow] = field(default_factory=dict)
     searches: dict[bytes, Search] = field(default_factory=dict)
     started: float = 0.0
+    isolated: bool = False
     introduced: bool = False
     ahead: dict[str, str] = field(default_factory=dict)
     behind_since: float = 0.0
--- a/shedsill/datagram/_locating.py
+++ b/shedsill/datagram/_locating.py
@@ -14,9 +14,10 @@
 from shedsill.datagram import _searches
 from shedsill.datagram._balancer_state import BalancerFlow, BalancerState, forward
 from shedsill.datagram._effects import Effect, ResetFlow, SendMessage
-from shedsill.datagram._messages import Locate, Located
+from shedsill.datagram._messages import Locate, Located, NodeReport
 from shedsill.datagram._packet import RST, Packet
 from shedsill.datagram._searches import Phase, Search
+from shedsill.datagram._selection import prefer_hosts
 
 INTRODUCTION_LIMIT = 0.5
 """Seconds in which other balancers tell a new one which nodes they know."""
@@ -57,14 +58,12 @@
     state: BalancerState, flow: bytes, search: Search, now: float
 ) -> list[Effect]:
     search.asked = now
-    if search.phase == Phase.TRYING:
-        search.phase = Phase.ASKING
-        search.waiting |= search.unsure
-        search.unsure.clear()
-    if not search.waiting:
+    if search.phase == Phase.TRYING and search.waiting:
+        return _try_packet(state, search)
+    if not search.waiting and not search.unsure:
         search.waiting = set(_list_answering(state))
     _ask(state, flow, search.waiting)
-    return []
+    return conclude(state, flow, search)
 
 
 def take_located(
@@ -98,7 +97,12 @@
     known = BalancerFlow(service=view.report.service, seen=now, host=host, boot=boot)
     state.flows[flow] = known
     state.holding_hosts.add(host)
-    fields = {"flow": flow, "upstream": host, "after": round(now - search.asked, 3)}
+    fields = {
+        "flow": flow,
+        "upstream": host,
+        "after": round(now - search.begun, 3),
+        "tried": search.tried,
+    }
     effects: list[Effect] = [Note(event=LogEvent.FLOW_FOUND, fields=fields)]
     for packet in search.packets:
         known.caller_ack = packet.ack
@@ -107,27 +111,53 @@
 
 
 def conclude(state: BalancerState, flow: bytes, search: Search) -> list[Effect]:
-    """Act on a search that every agent has answered."""
+    """Act on a search whose open questions are answered."""
     if search.waiting:
         return []
-    if search.phase == Phase.ASKING and search.unsure:
-        if not search.packets:
-            return []
-        search.phase = Phase.TRYING
-        search.waiting = set(search.unsure)
-        smallest = min(search.packets, key=lambda packet: len(packet.data))
-        return _try_packet(state, search, smallest)
+    if search.unsure:
+        return _try_next(state, flow, search)
     if not _knows_all(state, search.seen):
         return []
     del state.searches[flow]
     state.resets[flow] = search.seen
-    fields = {"flow": flow, "asked": len(state.nodes.upstreams)}
+    fields = {"flow": flow, "asked": len(state.nodes.upstreams), "tried": search.tried}
     return [
         ResetFlow(flow, search.caller_ack),
         Note(event=LogEvent.FLOW_ORPHANED, fields=fields),
     ]
 
 
+def _try_next(state: BalancerState, flow: bytes, search: Search) -> list[Effect]:
+    """Try the flow's smallest packet on the unsure agents likeliest to hold it.
+
+    First on the few where the flow was placed if load allowed, then on the others
+    of this availability zone, then on all.
+    """
+    if not search.packets:
+        return []
+    views = state.nodes.upstreams
+    zone = state.report.zone
+    reports = [v.report for v in views.values()]
+    near = {report.host for report in reports if report.zone == zone}
+    likely = prefer_hosts(_list_likely(state, search), zone=zone, flow=flow)
+    for hosts in (likely, near, search.unsure):
+        search.waiting = search.unsure.intersection(hosts)
+        if search.waiting:
+            break
+    search.unsure -= search.waiting
+    search.tried += len(search.waiting)
+    search.phase = Phase.TRYING
+    return _try_packet(state, search)
+
+
+def _list_likely(state: BalancerState, search: Search) -> list[NodeReport]:
+    """Return the reports of agents whose service the flow's endpoint leads to."""
+    route = state.table.routes.get(search.packets[0].endpoint)
+    services = {share.service for share in route.shares} if route else set()
+    reports = (view.report for view in state.nodes.upstreams.values())
+    return [report for report in reports if report.service in services]
+
+
 def _knows_all(state: BalancerState, now: float) -> bool:
     """Whether no agent is likely to be missing among those that were asked."""
     nodes = state.nodes
@@ -138,8 +168,9 @@
     return state.introduced or alone or late
 
 
-def _try_packet(state: BalancerState, search: Search, packet: Packet) -> list[Effect]:
-    """Give a packet to the upstreams that may hold its flow; others bounce it."""
+def _try_packet(state: BalancerState, search: Search) -> list[Effect]:
+    """Give the smallest packet to upstreams; those without the flow bounce it."""
+    packet = min(search.packets, key=lambda held: len(held.data))
     effects: list[Effect] = []
     for host in search.waiting:
         view = state.nodes.upstreams.get(host)
--- a/shedsill/datagram/_roster.py
+++ b/shedsill/datagram/_roster.py
@@ -197,9 +197,14 @@
             effects.append(SendMessage(host, probe))
     lost = [h for h, v in state.nodes.upstreams.items() if _nodes.is_lost(v, now)]
     if not lost:
+        state.isolated = False
         return effects
     if _nodes.is_isolated(state.nodes.upstreams.values(), now):
-        return [*effects, _note_isolated(state, lost)]
+        if not state.isolated:
+            effects.append(_note_isolated(state, lost))
+        state.isolated = True
+        return effects
+    state.isolated = False
     for host in lost:
         effects += _give_up_agent(state, host, state.nodes.upstreams[host], now)
     return effects
--- a/shedsill/datagram/_searches.py
+++ b/shedsill/datagram/_searches.py
@@ -41,11 +41,13 @@
     waiting : set of str
         Hosts of the agents that have not answered.
     unsure : set of str
-        Hosts of agents that could not tell.
+        Hosts of agents that could not tell and have not been tried yet.
+    tried : int
+        Agents that were given a packet.
     asked : float
         When agents were last asked.
-    seen : float
-        When the last packet of the flow came.
+    seen, begun : float
+        When the last packet of the flow came, and the first.
     caller_ack : int
         What the caller expects next, as its last packet said.
     """
@@ -54,15 +56,22 @@
     waiting: set[str]
     asked: float
     seen: float
+    begun: float
     caller_ack: int
     phase: Phase = Phase.ASKING
     unsure: set[str] = field(default_factory=set)
+    tried: int = 0
 
 
 def begin_search(caller_ack: int, hosts: Iterable[str], now: float) -> Search:
     """Return a search that starts now, without packets so far."""
     return Search(
-        packets=[], waiting=set(hosts), asked=now, seen=now, caller_ack=caller_ack
+        packets=[],
+        waiting=set(hosts),
+        asked=now,
+        seen=now,
+        begun=now,
+        caller_ack=caller_ack,
     )
 
 
--- a/shedsill/datagram/_selection.py
+++ b/shedsill/datagram/_selection.py
@@ -14,6 +14,18 @@
 availability zone may have above a remote one before the remote one is taken;
 below 1, so that a free remote slot comes before a queue."""
 
+PREFERRED_HOSTS = 4
+"""Near agents preferred for a flow.  Choosing the least full of a few drawn at
+random is nearly as even as choosing among all, and less prone to many balancers
+running after the same report."""
+
+OTHERS_PENALTY = 0.5
+"""Fullness by which the preferred ones must exceed another near one before that
+is taken: one request on an upstream of two slots."""
+
+GOLDEN_RATIO = 0x9E37_79B1
+"""Multiplier that breaks the linearity of CRC-32 (2**32 over the golden ratio)."""
+
 BULK_ZONE_PENALTY = 4.0
 """The same for routes with large bodies, whose octets cost more than a wait."""
 
@@ -137,21 +149,39 @@
     flow : bytes
         Key of the flow; breaks ties.
     """
-    penalty = BULK_ZONE_PENALTY if bulk else ZONE_PENALTY
+    takers = [v for v in views if can_take(v) and v.report.host not in without]
+    preferred = prefer_hosts((v.report for v in takers), zone=zone, flow=flow)
+    far = BULK_ZONE_PENALTY if bulk else ZONE_PENALTY
     best: UpstreamView | None = None
     best_score = (True, 0.0, 0)
-    for view in views:
-        if not can_take(view) or view.report.host in without:
-            continue
-        distance = 0.0 if view.report.zone == zone else penalty
+    for view in takers:
+        report = view.report
         avoided = view.suspect or now < max(view.refused_until, view.avoided_until)
         fullness = measure_fullness(view, now)
-        score = (avoided, fullness + distance, _break_tie(flow, view))
+        if report.zone != zone:
+            fullness += far
+        elif report.host not in preferred:
+            fullness += OTHERS_PENALTY
+        score = (avoided, fullness, weigh_host(flow, report.host))
         if best is None or score < best_score:
             best, best_score = view, score
     return best
 
 
-def _break_tie(flow: bytes, view: UpstreamView) -> int:
-    """Return a number that differs between flows and hosts, but not in time."""
-    return zlib.crc32(view.report.host.encode(), zlib.crc32(flow))
+def prefer_hosts(
+    reports: Iterable[NodeReport], *, zone: str, flow: bytes
+) -> tuple[str, ...]:
+    """Return the few near agents where a flow is placed if load allows.
+
+    They depend on the flow and the agents only (rendezvous hashing), so that any
+    balancer knows where to look first for a flow that it does not know.
+    """
+    near = [report.host for report in reports if report.zone == zone]
+    near.sort(key=lambda host: weigh_host(flow, host))
+    return tuple(near[:PREFERRED_HOSTS])
+
+
+def weigh_host(flow: bytes, host: str) -> int:
+    """Return a number that is evenly spread over flows and hosts."""
+    mixed = zlib.crc32(host.encode(), zlib.crc32(flow))
+    return mixed * GOLDEN_RATIO % (1 << 32)
--- a/shedsill/platform/store.py
+++ b/shedsill/platform/store.py
@@ -33,8 +33,9 @@
 
 __all__ = ["ObjectStore"]
 
-CALL_TIMEOUT = 1.5
-"""Seconds for one call; the store answers in 4 ms, and in 0.3 s when slow."""
+CALL_TIMEOUT = 0.8
+"""Seconds for one call; the store answers in 4 ms, and in 0.3 s when slow.  A call
+that fell into an outage must not be waited for long after it."""
 
 WATCH_MARGIN = 1.5
 """Seconds beyond its patience in which a watch has to answer."""
