--- a/shedsill/_catalogue.py
+++ b/shedsill/_catalogue.py
@@ -120,7 +120,9 @@
     UPSTREAM_FAILING = Entry(627, Level.WARNING, "upstream answers too quickly")
     UPSTREAM_LOST = Entry(622, Level.WARNING, "agent does not answer")
     HEARTBEAT_TAKEN = Entry(624, Level.INFO, "heartbeat with news of the upstream")
-    BALANCER_ISOLATED = Entry(625, Level.WARNING, "most agents are silent to this VM")
+    BALANCER_ISOLATED = Entry(
+        625, Level.WARNING, "cut off from most agents, or no longer"
+    )
     EARLIER_REPORT = Entry(626, Level.INFO, "report of an earlier run read")
     TABLE_APPLIED = Entry(630, Level.INFO, "forwarding table in force")
     TABLE_REJECTED = Entry(631, Level.ERROR, "forwarding table cannot be read")
--- a/shedsill/datagram/_balancer_state.py
+++ b/shedsill/datagram/_balancer_state.py
@@ -100,7 +100,8 @@
     def ready(self) -> bool:
         """Whether routers should send packets here."""
         usable = any(can_take(v) for v in self.nodes.upstreams.values())
-        return self.table.version > 0 and usable and self.stop_at is None
+        stopping = self.stop_at is not None
+        return self.table.version > 0 and usable and not (stopping or self.isolated)
 
 
 def reset_flows(
--- a/shedsill/datagram/_nodes.py
+++ b/shedsill/datagram/_nodes.py
@@ -38,6 +38,10 @@
 """Share of silent agents from which on the silence is put down to this balancer's
 own VM or link; a balancer that is cut off or choked hears from none."""
 
+ISOLATED_QUESTIONS = 4
+"""Unanswered questions (0.45 s) to most agents after which a balancer asks the
+routers for no more packets; others of the zone or the next one reach the agents."""
+
 LOST_ASK_INTERVAL = 0.5
 """Seconds between questions to an agent that was given up."""
 
@@ -193,13 +197,21 @@
     return now - view.silent_since >= limit and view.questions >= LOST_QUESTIONS
 
 
-def is_isolated(views: Iterable[UpstreamView], now: float) -> bool:
-    """Whether so many agents are silent that it must be this balancer's doing."""
+def is_isolated(
+    views: Iterable[UpstreamView], now: float, *, questions: int = 2
+) -> bool:
+    """Whether so many agents are silent that it must be this balancer's doing.
+
+    Parameters
+    ----------
+    questions : int
+        Unanswered questions from which on an agent counts as silent.
+    """
     silent = heard = 0
     for view in views:
         if view.lost:
             continue
-        if view.silent_since is not None and view.questions > 1:
+        if view.silent_since is not None and view.questions >= questions:
             silent += 1
         elif view.heard and now - view.heard < LOST_AFTER:
             heard += 1
--- a/shedsill/datagram/_roster.py
+++ b/shedsill/datagram/_roster.py
@@ -195,24 +195,25 @@
         if _nodes.is_due(view, now, wanted=wanted):
             _nodes.note_asked(view, now)
             effects.append(SendMessage(host, probe))
+    effects += _note_isolation(state, now)
     lost = [h for h, v in state.nodes.upstreams.items() if _nodes.is_lost(v, now)]
-    if not lost:
-        state.isolated = False
+    if not lost or _nodes.is_isolated(views, now):
         return effects
-    if _nodes.is_isolated(state.nodes.upstreams.values(), now):
-        if not state.isolated:
-            effects.append(_note_isolated(state, lost))
-        state.isolated = True
-        return effects
-    state.isolated = False
     for host in lost:
         effects += _give_up_agent(state, host, state.nodes.upstreams[host], now)
     return effects
 
 
-def _note_isolated(state: BalancerState, silent: list[str]) -> Note:
-    fields = {"silent": len(silent), "known": len(state.nodes.upstreams)}
-    return Note(event=LogEvent.BALANCER_ISOLATED, fields=fields)
+def _note_isolation(state: BalancerState, now: float) -> list[Effect]:
+    """Note that this balancer has been cut off from most agents, or no longer is."""
+    views = state.nodes.upstreams.values()
+    isolated = _nodes.is_isolated(views, now, questions=_nodes.ISOLATED_QUESTIONS)
+    if isolated == state.isolated:
+        return []
+    state.isolated = isolated
+    silent = sum(view.silent_since is not None for view in views)
+    fields = {"isolated": isolated, "silent": silent, "known": len(views)}
+    return [Note(event=LogEvent.BALANCER_ISOLATED, fields=fields)]
 
 
 def _give_up_agent(
--- a/shedsill/tests/test_datagram_flows.py
+++ b/shedsill/tests/test_datagram_flows.py
@@ -294,13 +294,16 @@
     assert caller.outcome == "answered"
     caller.outcome = ""
     world.cut.add(B1)
-    world.run(3.0)
+    world.run(2.0)
+    assert not world.nodes[B1].ready
+    world.run(1.0)
     assert count(world, LogEvent.UPSTREAM_LOST) == 0
     world.cut.clear()
     assert caller.flow in world.nodes[B1].flows
     caller.send_request()
     world.run(0.3)
     assert caller.outcome == "answered"
+    assert world.nodes[B1].ready
 
 
 def test_an_agent_that_the_store_turns_away_is_asked_too(world: World) -> None:
