--- a/shedsill/datagram/_agent.py
+++ b/shedsill/datagram/_agent.py
@@ -14,6 +14,7 @@
 from shedsill._shared_effects import Exit, Note
 from shedsill.datagram import _slots
 from shedsill.datagram._agent_state import (
+    NEWS_LIMIT,
     AgentState,
     Phase,
     make_load,
@@ -38,6 +39,10 @@
 """Seconds after which a flow that its caller never opened here is forgotten;
 callers give an opening up after 1.4 s."""
 
+MAX_TRIED = 4096
+"""Flows whose trial packet the upstream has neither taken nor bounced; its own
+packets teach the agent all the same, only the balancer hears of it later."""
+
 SWEEP_INTERVAL = 0.5
 """Seconds between looks for flows to forget."""
 
@@ -114,6 +119,11 @@
         if rest > (limit or state.flow_lifetime):
             effects += _slots.drop_request(state, key, now)
             del state.flows[key]
+    for host, at in list(state.balancers.items()):
+        if now - at > NEWS_LIMIT:
+            del state.balancers[host]
+    if len(state.tried) > MAX_TRIED:
+        state.tried.clear()
     if not state.complete and now - state.started > state.flow_lifetime:
         state.complete = True
     return effects
--- a/shedsill/datagram/_nodes.py
+++ b/shedsill/datagram/_nodes.py
@@ -42,6 +42,10 @@
 """Unanswered questions (0.45 s) to most agents after which a balancer asks the
 routers for no more packets; others of the zone or the next one reach the agents."""
 
+RETIRED_MEMORY = 600.0
+"""Seconds for which an ended incarnation is remembered; no report of it can be
+under way or come from the store any more."""
+
 LOST_ASK_INTERVAL = 0.5
 """Seconds between questions to an agent that was given up."""
 
@@ -218,6 +222,13 @@
     return silent > ISOLATION_SHARE * (silent + heard)
 
 
+def forget_retired(nodes: Nodes, now: float) -> None:
+    """Drop incarnations that ended long ago."""
+    for incarnation, at in list(nodes.retired.items()):
+        if now - at > RETIRED_MEMORY:
+            del nodes.retired[incarnation]
+
+
 def shift_silences(views: Iterable[UpstreamView], pause: float) -> None:
     """Take back the silence that was this node's own: it did not run meanwhile."""
     for view in views:
--- a/shedsill/datagram/_roster.py
+++ b/shedsill/datagram/_roster.py
@@ -167,6 +167,7 @@
     calls; another one takes over when that is gone.
     """
     effects: list[Effect] = []
+    _nodes.forget_retired(state.nodes, now)
     first = min([state.report.host, *state.nodes.balancers]) == state.report.host
     for host, view in list(state.nodes.upstreams.items()):
         if not view.lost or now - view.lost_at < FORGET_LOST_AFTER:
--- a/shedsill/tests/test_datagram_flows.py
+++ b/shedsill/tests/test_datagram_flows.py
@@ -6,7 +6,7 @@
 
 from shedsill._catalogue import LogEvent
 from shedsill.datagram._messages import UpstreamState
-from shedsill.datagram._nodes import LOST_AFTER
+from shedsill.datagram._nodes import LOST_AFTER, RETIRED_MEMORY
 from shedsill.datagram._roster import PULL_AFTER
 from shedsill.testing.datagrams import World
 from shedsill.testing.flow_peers import Caller
@@ -393,3 +393,15 @@
     assert {caller.outcome for caller in callers} == {"answered"}
     found = [n.fields for _h, n in world.notes if n.event == LogEvent.FLOW_FOUND]
     assert sum(fields["tried"] for fields in found) <= 6 * len(callers)
+
+
+def test_what_nodes_remember_of_each_other_is_bounded(world: World) -> None:
+    open_flow(world)
+    assert B1 in world.nodes[A1].balancers or B1 in world.nodes[A2].balancers
+    world.kill(A1)
+    world.add_agent(A1, "dispatcher")
+    world.run(5.0)
+    assert world.nodes[B1].nodes.retired
+    world.run(RETIRED_MEMORY + 10.0)
+    assert not world.nodes[B1].nodes.retired
+    assert not world.nodes[A1].balancers
