--- a/properties/soak.py
+++ b/properties/soak.py
@@ -56,6 +56,7 @@
             await self.deployment.start_balancer(host)
         for host in (*AGENTS, *BALANCERS):
             await self.deployment.wait_ready(host)
+        await self.deployment.wait_known()
         calls = asyncio.create_task(self._call_steadily())
         end = time.monotonic() + seconds
         while time.monotonic() < end:
--- a/shedsill/datagram/_agent_packets.py
+++ b/shedsill/datagram/_agent_packets.py
@@ -34,14 +34,11 @@
     RST,
     SYN,
     Packet,
+    acknowledges,
     is_opening,
-    measure_advance,
 )
 from shedsill.datagram._selection import REFUSAL_PAUSE, number_service
 
-RECEIVE_WINDOW = 76_800
-"""Octets by which an acknowledgement may be ahead of a flow's first one."""
-
 MAX_FLOWS = 50_000
 """Flows remembered; far above the connections that one upstream may have."""
 
@@ -59,7 +56,10 @@
     flow = state.flows.get(packet.flow)
     if flow is None:
         return _take_unknown(state, packet, event.balancer, now)
-    if flow.phase == Phase.HALF_OPEN and not _opens(flow, packet):
+    unchosen = flow.initial_seq is not None and not acknowledges(
+        packet, flow.initial_seq
+    )
+    if flow.phase == Phase.HALF_OPEN and unchosen:
         del state.flows[packet.flow]
         return return_packet(state, packet, event.balancer, ReturnReason.NOT_HELD, now)
     flow.phase = Phase.OPEN
@@ -76,13 +76,6 @@
     return [SendToUpstream(packet, event.balancer)]
 
 
-def _opens(flow: AgentFlow, packet: Packet) -> bool:
-    """Whether the caller has chosen this upstream, by what it acknowledges."""
-    if flow.initial_seq is None:
-        return True
-    return measure_advance(packet.ack, flow.initial_seq) <= RECEIVE_WINDOW
-
-
 def _take_opening(
     state: AgentState, packet: Packet, balancer: str, now: float
 ) -> list[Effect]:
--- a/shedsill/datagram/_openings.py
+++ b/shedsill/datagram/_openings.py
@@ -13,7 +13,7 @@
 from shedsill.datagram._effects import Effect, ObserveLatency, ResetFlow
 from shedsill.datagram._forwarding import Route, choose_service
 from shedsill.datagram._messages import FlowTaken
-from shedsill.datagram._packet import Packet, measure_advance
+from shedsill.datagram._packet import Packet, acknowledges
 from shedsill.datagram._selection import REFUSAL_PAUSE, choose_upstream
 
 ANSWER_TIMEOUT = 0.08
@@ -24,10 +24,6 @@
 MAX_OFFERS = 4
 """Upstreams that one opening packet is offered to."""
 
-RECEIVE_WINDOW = 76_800
-"""Octets by which an acknowledgement may be ahead of a flow's first one for it
-to be the caller's first packet after the opening."""
-
 MAX_FLOWS = 200_000
 """Flows remembered; a flow forgotten is found again by asking the agents."""
 
@@ -128,7 +124,7 @@
     for host, initial_seq in flow.offered.items():
         if initial_seq is None:
             continue
-        if measure_advance(packet.ack, initial_seq) <= RECEIVE_WINDOW:
+        if acknowledges(packet, initial_seq):
             _hold_at(state, flow, host)
             return [forward(state, host, flow.service, packet)]
     if len(flow.offered) == 1:
--- a/shedsill/datagram/_packet.py
+++ b/shedsill/datagram/_packet.py
@@ -13,6 +13,10 @@
 
 SEQUENCE_SPACE = 1 << 32
 
+RECEIVE_WINDOW = 76_800
+"""Octets by which an acknowledgement may be ahead of a flow's first number for it
+to be one of the caller's first packets; the platform's bound for resets."""
+
 
 class Packet(Struct):
     """One packet; `data` is what is sent on, the rest was read from it.
@@ -72,3 +76,15 @@
     10
     """
     return (later - earlier) % SEQUENCE_SPACE
+
+
+def acknowledges(packet: Packet, initial_seq: int) -> bool:
+    """Whether a caller's packet belongs to a flow that began with a number.
+
+    Examples
+    --------
+    >>> packet = Packet(b"", b"", ACK, 0, seq=9, ack=1001, length=0, data=b"")
+    >>> acknowledges(packet, 1000), acknowledges(packet, 5000)
+    (True, False)
+    """
+    return measure_advance(packet.ack, initial_seq) <= RECEIVE_WINDOW
--- a/shedsill/testing/deployment.py
+++ b/shedsill/testing/deployment.py
@@ -258,6 +258,21 @@
                             return
                 await asyncio.sleep(POLL)
 
+    async def wait_known(self) -> None:
+        """Wait until each balancer has heard of every agent's upstream."""
+        agents = {h for h, node in self.nodes.items() if node.role == "agent"}
+        async with asyncio.timeout(START_LIMIT):
+            for host, node in self.nodes.items():
+                while node.role == "balancer" and agents - self._list_known(host):
+                    await asyncio.sleep(POLL)
+
+    def _list_known(self, balancer: str) -> set[str]:
+        return {
+            line["upstream"]
+            for line in self.read_log(balancer)
+            if line["name"] == "upstream_changed" and line["state"] == "ready"
+        }
+
     async def kill(self, host: str) -> None:
         """End a node's process at once."""
         node = self.nodes[host]
@@ -404,4 +419,5 @@
     def read_log(self, host: str) -> list[dict]:
         """Return the log lines that a node has written."""
         text = (self.folder / f"{host}.log").read_text()
-        return [json.loads(line) for line in text.splitlines() if line.startswith("{")]
+        whole = text[: text.rfind("\n") + 1].splitlines()
+        return [json.loads(line) for line in whole if line.startswith("{")]
--- a/shedsill/tests/test_platform_processes.py
+++ b/shedsill/tests/test_platform_processes.py
@@ -32,6 +32,7 @@
                 await deployment.start_balancer(host)
             for host in (*AGENTS, *BALANCERS):
                 await deployment.wait_ready(host)
+            await deployment.wait_known()
             await scenario(deployment)
             assert deployment.errors == []
 
