--- /dev/null
+++ b/benchmarks/opaque.py
@@ -0,0 +1,144 @@
+"""Cost of opaque flows in the reducers: time a packet, memory a flow."""
+
+from __future__ import annotations
+
+import struct
+import time
+import tracemalloc
+
+from shedsill.datagram._agent_state import AgentState
+from shedsill.datagram._balancer_state import BalancerState
+from shedsill.datagram._events import (
+    CallerPacket,
+    ForwardedPacket,
+    MessageReceived,
+    TableOffered,
+)
+from shedsill.datagram._forwarding import ForwardingTable, Route, ServiceShare
+from shedsill.datagram._messages import (
+    FlowTaken,
+    Load,
+    NodeReport,
+    Role,
+    UpstreamState,
+)
+from shedsill.datagram._nodes import merge_report
+from shedsill.datagram._reducer import reduce
+from shedsill.datagram._selection import number_service
+from shedsill.platform.packets import HeadCodec
+from shedsill.testing.flow_peers import SERVICE_HOST, make_packet
+
+CODEC = HeadCodec()
+FLOWS = 20_000
+SERVICE = "dispatcher"
+AGENTS = 55
+
+
+def make_balancer(agents: int = AGENTS) -> BalancerState:
+    """Return a balancer that knows some agents of one service."""
+    report = NodeReport(host="10.0.0.1", role=Role.BALANCER, zone="z", incarnation=1)
+    state = BalancerState(report=report, seeds=(), flow_lifetime=60.0, stop_limit=5.0)
+    route = Route(name="r", shares=(ServiceShare(service=SERVICE),))
+    endpoint = struct.pack(">IH", SERVICE_HOST, 443)
+    table = ForwardingTable(version=1, routes={endpoint: route}, idle_timeout=60.0)
+    reduce(state, TableOffered(table=table, source="", now=1.0))
+    for number in range(agents):
+        upstream = NodeReport(
+            host=f"10.1.0.{number}",
+            role=Role.AGENT,
+            zone="z" if number % 4 == 0 else "y",
+            incarnation=2,
+            service=SERVICE,
+            boot="i-1",
+            state=UpstreamState.READY,
+            load=Load(slots=2),
+        )
+        merge_report(state.nodes, upstream, 1.0, direct=True)
+    return state
+
+
+def make_data(number: int, bits: int, content: bytes = b"") -> bytes:
+    """Return one packet of the flow with a number."""
+    caller = (0x64400000 + number // 50_000, 1024 + number % 50_000)
+    return make_packet(caller, (SERVICE_HOST, 443), bits, seq=1, ack=8, content=content)
+
+
+def open_flows(state: BalancerState, count: int) -> None:
+    """Open flows through a balancer, each at the upstream first offered."""
+    for number in range(count):
+        packet = CODEC.decode_caller(make_data(number, 4))
+        assert packet is not None
+        reduce(state, CallerPacket(packet=packet, now=1.0 + number / 1000))
+        host = next(iter(state.flows[packet.flow].offered))
+        taken = FlowTaken(flow=packet.flow, boot="i-1", initial_seq=7, load=Load())
+        message = MessageReceived(message=taken, source=host, now=1.0 + number / 1000)
+        reduce(state, message)
+        packet = CODEC.decode_caller(make_data(number, 128))
+        assert packet is not None
+        reduce(state, CallerPacket(packet=packet, now=1.0 + number / 1000))
+
+
+def measure() -> dict[str, float]:
+    """Return microseconds a packet and octets a flow."""
+    tracemalloc.start()
+    state = make_balancer()
+    before = tracemalloc.get_traced_memory()[0]
+    open_flows(state, FLOWS)
+    octets = (tracemalloc.get_traced_memory()[0] - before) / FLOWS
+    tracemalloc.stop()
+    return {
+        "balancer, octets a flow": octets,
+        "balancer, us an opening (55 agents)": _time_openings(),
+        "balancer, us a packet of a known flow": _time_packets(state),
+        "agent, us a packet of a known flow": _time_agent(),
+    }
+
+
+def _time_openings() -> float:
+    state = make_balancer()
+    begun = time.perf_counter()
+    open_flows(state, FLOWS)
+    return (time.perf_counter() - begun) / FLOWS * 1e6
+
+
+def _time_packets(state: BalancerState) -> float:
+    data = [make_data(number, 128, b"x" * 900) for number in range(FLOWS)]
+    begun = time.perf_counter()
+    for octets in data:
+        packet = CODEC.decode_caller(octets)
+        assert packet is not None
+        for effect in reduce(state, CallerPacket(packet=packet, now=30.0)):
+            CODEC.encode_forwarded(effect.packet, effect.service, effect.route)
+    return (time.perf_counter() - begun) / FLOWS * 1e6
+
+
+def _time_agent() -> float:
+    report = NodeReport(
+        host="10.1.0.1",
+        role=Role.AGENT,
+        zone="z",
+        incarnation=1,
+        service=SERVICE,
+        state=UpstreamState.READY,
+    )
+    state = AgentState(report=report, seeds=(), flow_lifetime=60.0, stop_limit=5.0)
+    number = number_service(SERVICE)
+    for flow in range(2000):
+        packet = CODEC.decode_caller(make_data(flow, 4))
+        assert packet is not None
+        opening = ForwardedPacket(packet=packet, service=number, balancer="b", now=1.0)
+        reduce(state, opening)
+    data = [make_data(flow % 2000, 128) for flow in range(FLOWS)]
+    begun = time.perf_counter()
+    for octets in data:
+        packet = CODEC.decode_caller(octets)
+        assert packet is not None
+        event = ForwardedPacket(packet=packet, service=number, balancer="b", now=2.0)
+        for effect in reduce(state, event):
+            CODEC.encode_for_upstream(effect.packet, "10.0.0.1")
+    return (time.perf_counter() - begun) / FLOWS * 1e6
+
+
+if __name__ == "__main__":
+    for name, value in measure().items():
+        print(f"{name}: {value:.1f}")
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -18,8 +18,9 @@
 from shedsill._accepting import Inputs, accept
 from shedsill._addresses import Address
 from shedsill._agent_state import AgentState
+from shedsill._answers import RecordedAnswer
 from shedsill._configuration import Configuration
-from shedsill._effects import Answer, RecordedAnswer, Refuse, StartUpstream
+from shedsill._effects import Answer, Refuse, StartUpstream
 from shedsill._events import (
     ConfigurationOffered,
     RequestArrived,
--- a/properties/test_world.py
+++ b/properties/test_world.py
@@ -19,7 +19,7 @@
     rule,
 )
 
-from shedsill._effects import RequestOutcome
+from shedsill._answers import RequestOutcome
 from shedsill._resources import Action, Change, Upstream, UpstreamSet
 from shedsill.testing.parts import CallerFlow
 from shedsill.testing.world import World
--- a/shedsill/_acceptance.py
+++ b/shedsill/_acceptance.py
@@ -29,8 +29,8 @@
     is_newer,
 )
 from shedsill._effects import CallPlatform, Effect, Note
-from shedsill._events import Purpose
 from shedsill._node import CONFIGURATION_KIND, CONFIGURATION_NAME, Node
+from shedsill._purposes import Purpose
 from shedsill._resources import (
     KINDS,
     Action,
--- a/shedsill/_balancer.py
+++ b/shedsill/_balancer.py
@@ -26,7 +26,6 @@
     ConfigurationOffered,
     FrameReceived,
     PlatformAnswered,
-    Purpose,
     StopRequested,
     Tick,
 )
@@ -40,6 +39,7 @@
     offer_configuration,
     send_heartbeats,
 )
+from shedsill._purposes import Purpose
 from shedsill._routing import (
     Router,
     find_quiet,
--- a/shedsill/_effects.py
+++ b/shedsill/_effects.py
@@ -2,46 +2,17 @@
 
 from __future__ import annotations
 
-import enum
-from typing import TYPE_CHECKING
-
 from attrs import frozen
 
 from shedsill._addresses import Address
+from shedsill._answers import RecordedAnswer, RequestOutcome
 from shedsill._configuration import Configuration
 from shedsill._frames import Frame
+from shedsill._outcomes import Transfer
+from shedsill._purposes import Purpose
 from shedsill._shared_effects import Exit, Note
 from shedsill.coordination.platform import Call
 
-if TYPE_CHECKING:
-    from shedsill._events import Purpose
-    from shedsill._outcomes import Transfer
-
-
-class RequestOutcome(enum.Enum):
-    """What a caller is told about its request, in ``shedsill-outcome``."""
-
-    DONE = "done"
-    NOT_RUN = "not-run"
-    UNKNOWN = "unknown"
-
-
-@frozen(kw_only=True)
-class Header:
-    """One field of an HTTP message."""
-
-    name: str
-    value: str
-
-
-@frozen(kw_only=True)
-class RecordedAnswer:
-    """A whole answer of an upstream."""
-
-    status: int
-    headers: tuple[Header, ...]
-    body: bytes
-
 
 @frozen(kw_only=True)
 class Send:
--- a/shedsill/_events.py
+++ b/shedsill/_events.py
@@ -7,31 +7,17 @@
 
 from __future__ import annotations
 
-import enum
-
 from attrs import frozen
 
 from shedsill._addresses import Address
+from shedsill._answers import RecordedAnswer, RequestOutcome
 from shedsill._configuration import Configuration
-from shedsill._effects import RecordedAnswer, RequestOutcome
 from shedsill._frames import Frame
 from shedsill._outcomes import Transfer
+from shedsill._purposes import Purpose
 from shedsill.coordination.platform import Outcome
 
 
-class Purpose(enum.Enum):
-    """Why the platform was called."""
-
-    LEASE = "lease"
-    LIST = "list"
-    WATCH = "watch"
-    MACHINES = "machines"
-    ACCEPT = "accept"
-    STATUS = "status"
-    NODE = "node"
-    CONFIGURATION = "configuration"
-
-
 @frozen(kw_only=True)
 class Tick:
     """Time has passed."""
--- a/shedsill/_node.py
+++ b/shedsill/_node.py
@@ -21,8 +21,9 @@
     PullConfiguration,
     Send,
 )
-from shedsill._events import PlatformAnswered, Purpose
+from shedsill._events import PlatformAnswered
 from shedsill._frames import Frame, Heartbeat, Load, NodeReport
+from shedsill._purposes import Purpose
 from shedsill.coordination.membership import (
     SILENT_AFTER,
     Membership,
--- a/shedsill/_peers.py
+++ b/shedsill/_peers.py
@@ -8,7 +8,7 @@
 import capnp
 from attrs import frozen
 
-from shedsill._effects import Header, RecordedAnswer
+from shedsill._answers import Header, RecordedAnswer
 from shedsill._frames import SCHEMA
 from shedsill._keys import KeyRing, open_envelope, seal_envelope
 from shedsill._outcomes import (
--- a/shedsill/_reducer.py
+++ b/shedsill/_reducer.py
@@ -27,7 +27,6 @@
     PeerFailed,
     PlatformAnswered,
     PullFailed,
-    Purpose,
     RequestArrived,
     RequestCancelled,
     StopRequested,
@@ -38,6 +37,7 @@
     UpstreamLoadRead,
 )
 from shedsill._node import decode_answer, read_first
+from shedsill._purposes import Purpose
 from shedsill._status import take_status_outcome
 from shedsill.coordination.spread import note_failure
 from shedsill.errors import InvariantError
--- a/shedsill/_runtime/agent.py
+++ b/shedsill/_runtime/agent.py
@@ -14,6 +14,7 @@
 from shedsill._addresses import Address
 from shedsill._admission import Admission, AdmissionSettings
 from shedsill._agent_state import AgentSettings, AgentState, get_load
+from shedsill._answers import Header, RecordedAnswer, RequestOutcome
 from shedsill._catalogue import LogEvent
 from shedsill._effects import (
     AbortUpstream,
@@ -25,14 +26,11 @@
     Deliver,
     Effect,
     HandOver,
-    Header,
     MoveReplyPath,
     Note,
     PassRequest,
-    RecordedAnswer,
     Refuse,
     RefuseFlow,
-    RequestOutcome,
     RequireRetry,
     ResetFlow,
     StartUpstream,
--- a/shedsill/_runtime/exchange.py
+++ b/shedsill/_runtime/exchange.py
@@ -9,7 +9,7 @@
 
 from attrs import define, field
 
-from shedsill._effects import Header
+from shedsill._answers import Header
 
 MAX_HELD_BODY = 262_144
 HOP_BY_HOP = frozenset(
--- a/shedsill/_runtime/flows.py
+++ b/shedsill/_runtime/flows.py
@@ -24,7 +24,8 @@
 from attrs import define, field
 
 from shedsill._addresses import Address
-from shedsill._effects import Deliver, Header, RequireRetry
+from shedsill._answers import Header
+from shedsill._effects import Deliver, RequireRetry
 from shedsill._keys import CONNECTION_ID_LENGTH
 from shedsill._packets import MIN_INITIAL_SIZE
 from shedsill._runtime.exchange import Body, Exchange, encode_text, read_headers
--- a/shedsill/_runtime/peers.py
+++ b/shedsill/_runtime/peers.py
@@ -6,7 +6,7 @@
 from attrs import frozen
 
 from shedsill._addresses import Address
-from shedsill._effects import RecordedAnswer
+from shedsill._answers import RecordedAnswer
 from shedsill._keys import KeyRing
 from shedsill._peers import (
     Handover,
--- a/shedsill/_runtime/upstream.py
+++ b/shedsill/_runtime/upstream.py
@@ -9,7 +9,7 @@
 from attrs import frozen
 from yarl import URL
 
-from shedsill._effects import Header, RecordedAnswer
+from shedsill._answers import Header, RecordedAnswer
 from shedsill._outcomes import MAX_RECORDED_BODY
 from shedsill._runtime.exchange import (
     HOP_BY_HOP,
--- a/shedsill/_settling.py
+++ b/shedsill/_settling.py
@@ -18,16 +18,9 @@
     get_retry_after,
 )
 from shedsill._agent_state import AgentState
+from shedsill._answers import RecordedAnswer, RequestOutcome
 from shedsill._catalogue import LogEvent
-from shedsill._effects import (
-    Answer,
-    CutAnswer,
-    Effect,
-    Note,
-    RecordedAnswer,
-    Refuse,
-    RequestOutcome,
-)
+from shedsill._effects import Answer, CutAnswer, Effect, Note, Refuse
 from shedsill._events import (
     RequestArrived,
 )
--- a/shedsill/_status.py
+++ b/shedsill/_status.py
@@ -8,7 +8,8 @@
 from attrs import evolve, frozen
 
 from shedsill._effects import CallPlatform, Effect
-from shedsill._events import PlatformAnswered, Purpose
+from shedsill._events import PlatformAnswered
+from shedsill._purposes import Purpose
 from shedsill.coordination.platform import Conflict, Put, Stored
 
 NODE_KIND = "node"
--- a/shedsill/testing/parts.py
+++ b/shedsill/testing/parts.py
@@ -9,8 +9,8 @@
 from shedsill import _events as events
 from shedsill._addresses import Address
 from shedsill._agent_state import AgentState
+from shedsill._answers import RequestOutcome
 from shedsill._balancer import BalancerState
-from shedsill._effects import RequestOutcome
 from shedsill._events import Event
 from shedsill._frames import Frame
 from shedsill._outcomes import Transfer
--- a/shedsill/testing/world.py
+++ b/shedsill/testing/world.py
@@ -21,9 +21,10 @@
 from shedsill._addresses import Address
 from shedsill._admission import Admission, AdmissionSettings
 from shedsill._agent_state import AgentSettings, AgentState, get_load
+from shedsill._answers import Header, RecordedAnswer, RequestOutcome
 from shedsill._balancer import BalancerState
 from shedsill._configuration import Configuration
-from shedsill._effects import Effect, Header, RecordedAnswer, RequestOutcome
+from shedsill._effects import Effect
 from shedsill._events import Event
 from shedsill._frames import ToCaller
 from shedsill._keys import CONNECTION_ID_LENGTH, KeyRing, Route
--- a/shedsill/tests/test_faults.py
+++ b/shedsill/tests/test_faults.py
@@ -12,8 +12,8 @@
 import pytest
 from attrs import define
 
+from shedsill._answers import RequestOutcome
 from shedsill._configuration import UpstreamState
-from shedsill._effects import RequestOutcome
 from shedsill._resources import Action, Change, Upstream, UpstreamSet
 from shedsill.testing.parts import Attempt, CallerFlow, PlatformMessage
 from shedsill.testing.world import World
--- a/shedsill/tests/test_guards.py
+++ b/shedsill/tests/test_guards.py
@@ -24,7 +24,7 @@
     _settling,
 )
 from shedsill._acceptance import Acceptor
-from shedsill._effects import RequestOutcome
+from shedsill._answers import RequestOutcome
 from shedsill._resources import Action
 from shedsill.coordination.platform import MemoryPlatform, Put, Stored
 from shedsill.tests.test_faults import (
--- a/shedsill/tests/test_outcomes.py
+++ b/shedsill/tests/test_outcomes.py
@@ -5,7 +5,7 @@
 import pytest
 
 from shedsill import _outcomes
-from shedsill._effects import RecordedAnswer
+from shedsill._answers import RecordedAnswer
 from shedsill._keys import KeyRing
 from shedsill._outcomes import (
     Done,
