--- a/shedsill/testing/deployment.py
+++ b/shedsill/testing/deployment.py
@@ -306,7 +306,10 @@
             )
             self._transports.append(server)
             outbound = (host, self.ports["outbound"])
-            send = lambda data: transport.sendto(data, outbound)  # noqa: E731
+
+            def send(data: bytes) -> None:
+                transport.sendto(data, outbound)
+
             self._begin(self._beat(host, service))
         else:
             send = known.send
