--- a/shedsill/datagram/_runtime/node.py
+++ b/shedsill/datagram/_runtime/node.py
@@ -67,7 +67,6 @@
 SETTINGS_INTERVAL = 1.0
 """Seconds between looks at whether the settings have changed."""
 
-READINESS_PATH = "/-/ready"
 METRICS_PATH = "/metrics"
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
@@ -264,7 +263,7 @@
 
     def answer_status(self, method: str, path: str, body: bytes) -> Response:
         """Answer whether this node should be sent packets."""
-        if path.partition("?")[0] != READINESS_PATH:
+        if path.partition("?")[0] != self.settings.readiness_path:
             return Response(status=HTTP_NOT_FOUND, body=b"{}")
         status = HTTP_OK if self.ready else HTTP_UNAVAILABLE
         return Response(status=status, body=b"{}")
--- a/shedsill/datagram/adapter.py
+++ b/shedsill/datagram/adapter.py
@@ -44,6 +44,8 @@
         Port at which callers take packets.
     status : Address
         Where ``GET`` of the readiness path is answered.
+    readiness_path : str
+        The path by which routers ask whether this node is ready.
     heartbeats : Address or None
         Where heartbeats of upstreams are taken.
     upstream, outbound : Address or None
@@ -67,6 +69,7 @@
     agent_port: int
     caller_port: int
     status: Address
+    readiness_path: str
     service: str = ""
     heartbeats: Address | None = None
     upstream: Address | None = None
--- a/shedsill/platform/settings.py
+++ b/shedsill/platform/settings.py
@@ -16,6 +16,7 @@
 __all__ = ["PlatformSettings", "SettingsFile", "parse_settings"]
 
 PATH_VARIABLE = "SHEDSILL_BOOT"
+READINESS_PATH = "/-/ready"
 METRICS_VARIABLE = "SHEDSILL_METRICS_PORT"
 STOP_MARGIN = 1.0
 """Seconds before the platform's SIGKILL at which a planned stop is over."""
@@ -141,6 +142,7 @@
         agent_port=packets.port,
         caller_port=packets.port,
         status=parse_address(file.listen.ready, field="listen.ready"),
+        readiness_path=READINESS_PATH,
         service=_require("service", file.service) if agent else "",
         heartbeats=_read_optional("listen.control", file.listen.control),
         upstream=parse_address(file.app, field="app") if agent else None,
