--- a/shedsill/datagram/_agent.py
+++ b/shedsill/datagram/_agent.py
@@ -47,14 +47,13 @@
 """Seconds between looks for flows to forget."""
 
 
-def start(state: AgentState, now: float) -> list[Effect]:
+def start(state: AgentState, now: float) -> None:
     """Begin; nothing is published before the upstream's first heartbeat.
 
     A report of an earlier run of this agent may still be in the store and stays
     good if the upstream lives.  A VM without an upstream is not made known.
     """
     state.started = state.average_at = now
-    return []
 
 
 def take_message(state: AgentState, event: MessageReceived) -> list[Effect]:
--- a/shedsill/datagram/_forwarding.py
+++ b/shedsill/datagram/_forwarding.py
@@ -46,14 +46,11 @@
         By endpoint, see `Packet.endpoint`.
     idle_timeout : float
         Seconds of silence after which a flow may be forgotten.
-    health_paths : dict of str to str
-        Path of the status check, by service.
     """
 
     version: int = 0
     routes: dict[bytes, Route] = field(default_factory=dict)
     idle_timeout: float = 60.0
-    health_paths: dict[str, str] = field(default_factory=dict)
 
 
 def choose_service(route: Route, flow: bytes) -> str:
--- a/shedsill/datagram/_roster.py
+++ b/shedsill/datagram/_roster.py
@@ -180,8 +180,13 @@
 
 def _forget_upstream(state: BalancerState, host: str) -> list[Effect]:
     state.nodes.upstreams.pop(host, None)
+    return _drop_agent(state, host, "upstream left")
+
+
+def _drop_agent(state: BalancerState, host: str, reason: str) -> list[Effect]:
+    """Reset the flows of an agent that is gone, and search without it."""
     keys = [key for key, flow in state.flows.items() if flow.host == host]
-    effects = reset_flows(state, keys, host, "upstream left")
+    effects = reset_flows(state, keys, host, reason)
     return effects + _locating.drop_host(state, host)
 
 
@@ -224,7 +229,5 @@
     view.lost = True
     view.lost_at = now
     fields = {"upstream": host, "silent": round(now - view.heard, 3)}
-    effects: list[Effect] = [Note(event=LogEvent.UPSTREAM_LOST, fields=fields)]
-    keys = [key for key, flow in state.flows.items() if flow.host == host]
-    effects += reset_flows(state, keys, host, "agent is silent")
-    return effects + _locating.drop_host(state, host)
+    note = Note(event=LogEvent.UPSTREAM_LOST, fields=fields)
+    return [note, *_drop_agent(state, host, "agent is silent")]
--- a/shedsill/datagram/_runtime/agent.py
+++ b/shedsill/datagram/_runtime/agent.py
@@ -31,7 +31,12 @@
     Node,
     draw_incarnation,
 )
-from shedsill.datagram.adapter import HeartbeatCodec, PacketCodec, SettingsSource
+from shedsill.datagram.adapter import (
+    HeartbeatCodec,
+    NodeSettings,
+    PacketCodec,
+    SettingsSource,
+)
 from shedsill.errors import DecodeError
 
 HTTP_BAD_REQUEST = 400
@@ -49,13 +54,15 @@
         self,
         state: AgentState,
         *,
+        settings: NodeSettings,
         source: SettingsSource,
         codec: PacketCodec,
         platform: Platform,
         heartbeats: HeartbeatCodec,
     ) -> None:
-        super().__init__(state, source=source, codec=codec, platform=platform)
-        settings = self.settings
+        super().__init__(
+            state, settings=settings, source=source, codec=codec, platform=platform
+        )
         assert settings.upstream is not None
         assert settings.outbound is not None
         self._heartbeats = heartbeats
@@ -65,8 +72,7 @@
 
     def begin(self) -> None:
         """Make the agent known and take heartbeats."""
-        for effect in _agent.start(self.state, self.now):
-            self.carry_out(effect)
+        _agent.start(self.state, self.now)
         if self.settings.heartbeats is not None:
             self.run_beside(
                 self.serve(self.settings.heartbeats, self._answer_heartbeat)
@@ -150,14 +156,14 @@
 
 
 def make_agent(
-    source: SettingsSource,
+    settings: NodeSettings,
     *,
+    source: SettingsSource,
     codec: PacketCodec,
     platform: Platform,
     heartbeats: HeartbeatCodec,
 ) -> AgentNode:
     """Return an agent; call it inside the running loop."""
-    settings = source.read()
     state = AgentState(
         report=NodeReport(
             host=settings.host,
@@ -173,6 +179,7 @@
     )
     return AgentNode(
         state,
+        settings=settings,
         source=source,
         codec=codec,
         platform=platform,
--- a/shedsill/datagram/_runtime/balancer.py
+++ b/shedsill/datagram/_runtime/balancer.py
@@ -34,7 +34,12 @@
     draw_incarnation,
 )
 from shedsill.datagram._runtime.reports import REPORT_KIND
-from shedsill.datagram.adapter import PacketCodec, SettingsSource, TableSource
+from shedsill.datagram.adapter import (
+    NodeSettings,
+    PacketCodec,
+    SettingsSource,
+    TableSource,
+)
 from shedsill.errors import DecodeError
 
 TABLE_PATH = "/table"
@@ -63,13 +68,15 @@
         self,
         state: BalancerState,
         *,
+        settings: NodeSettings,
         source: SettingsSource,
         codec: PacketCodec,
         platform: Platform,
         table: TableSource,
     ) -> None:
-        super().__init__(state, source=source, codec=codec, platform=platform)
-        settings = self.settings
+        super().__init__(
+            state, settings=settings, source=source, codec=codec, platform=platform
+        )
         self._table_source = table
         self._stored_table: object = None
         self._pulling = False
@@ -236,14 +243,14 @@
 
 
 def make_balancer(
-    source: SettingsSource,
+    settings: NodeSettings,
     *,
+    source: SettingsSource,
     codec: PacketCodec,
     platform: Platform,
     table: TableSource,
 ) -> BalancerNode:
     """Return a balancer; call it inside the running loop."""
-    settings = source.read()
     state = BalancerState(
         report=NodeReport(
             host=settings.host,
@@ -256,5 +263,10 @@
         stop_limit=settings.stop_limit,
     )
     return BalancerNode(
-        state, source=source, codec=codec, platform=platform, table=table
+        state,
+        settings=settings,
+        source=source,
+        codec=codec,
+        platform=platform,
+        table=table,
     )
--- a/shedsill/datagram/_runtime/node.py
+++ b/shedsill/datagram/_runtime/node.py
@@ -50,7 +50,7 @@
 from shedsill.datagram._runtime.log import JsonLog
 from shedsill.datagram._runtime.metrics import Histogram, format_events
 from shedsill.datagram._runtime.reports import ReportWriter
-from shedsill.datagram.adapter import PacketCodec, SettingsSource
+from shedsill.datagram.adapter import NodeSettings, PacketCodec, SettingsSource
 from shedsill.errors import DecodeError, InvariantError, SettingError
 
 TICK_INTERVAL = 0.04
@@ -88,11 +88,11 @@
         self,
         state: BalancerState | AgentState,
         *,
+        settings: NodeSettings,
         source: SettingsSource,
         codec: PacketCodec,
         platform: Platform,
     ) -> None:
-        settings = source.read()
         self.state = state
         self.settings = settings
         self._source = source
@@ -108,6 +108,7 @@
             platform=platform,
             write_note=self.write_note,
             take_earlier=self._take_earlier_report,
+            run_beside=self.run_beside,
         )
         self._loop = asyncio.get_running_loop()
         self._exited = asyncio.Event()
@@ -318,9 +319,9 @@
             case ObserveLatency(seconds=seconds):
                 self.latency.observe(seconds)
             case StoreReport(report=report):
-                self._reports.store(report, self.run_beside)
+                self._reports.store(report)
             case RemoveReport(report=report):
-                self._reports.remove(report, self.run_beside)
+                self._reports.remove(report)
             case Exit():
                 self._exited.set()
             case ForwardPacket() | SendToUpstream() | SendToCaller():
--- a/shedsill/datagram/_runtime/reports.py
+++ b/shedsill/datagram/_runtime/reports.py
@@ -51,53 +51,38 @@
         platform: Platform,
         write_note: Callable[[Note], None],
         take_earlier: Callable[[object], None],
+        run_beside: Callable[[Coroutine[Any, Any, None]], None],
     ) -> None:
         self.platform = platform
         self._take_earlier = take_earlier
+        self._run_beside = run_beside
         self.write_note = write_note
         self.version = 0
         self.wanted: NodeReport | None = None
         self.removing = False
-        self._running: asyncio.Event | None = None
-        self._idle = True
+        self._idle = asyncio.Event()
+        self._idle.set()
 
-    def store(
-        self,
-        report: NodeReport,
-        run_beside: Callable[[Coroutine[Any, Any, None]], None],
-    ) -> None:
+    def store(self, report: NodeReport) -> None:
         """Have the store hold a report."""
-        self._want(report, run_beside, removing=False)
+        self._want(report, removing=False)
 
-    def remove(
-        self,
-        report: NodeReport,
-        run_beside: Callable[[Coroutine[Any, Any, None]], None],
-    ) -> None:
+    def remove(self, report: NodeReport) -> None:
         """Have the store hold no report of this node."""
-        self._want(report, run_beside, removing=True)
+        self._want(report, removing=True)
 
-    def _want(
-        self,
-        report: NodeReport,
-        run_beside: Callable[[Coroutine[Any, Any, None]], None],
-        *,
-        removing: bool,
-    ) -> None:
+    def _want(self, report: NodeReport, *, removing: bool) -> None:
         self.wanted = report
         self.removing = removing
-        if self._idle:
-            self._idle = False
-            self._running = asyncio.Event()
-            run_beside(self._write())
+        if self._idle.is_set():
+            self._idle.clear()
+            self._run_beside(self._write())
 
     async def finish(self) -> None:
         """Wait a moment for the last write."""
-        if self._idle or self._running is None:
-            return
         try:
             async with asyncio.timeout(FINISH_LIMIT):
-                await self._running.wait()
+                await self._idle.wait()
         except TimeoutError:
             fields = {"reason": "the last report was not stored in time"}
             self.write_note(Note(event=LogEvent.PLATFORM_FAILED, fields=fields))
@@ -128,9 +113,7 @@
                         note = Note(event=LogEvent.PLATFORM_FAILED, fields=fields)
                         self.write_note(note)
                     await asyncio.sleep(get_delay(RETRY, failures))
-        self._idle = True
-        if self._running is not None:
-            self._running.set()
+        self._idle.set()
 
     def _make_call(self, report: NodeReport, removing: bool) -> Put | Delete:
         if removing:
--- a/shedsill/platform/manifest.py
+++ b/shedsill/platform/manifest.py
@@ -44,6 +44,8 @@
 
 
 class _Service(Struct, frozen=True, kw_only=True):
+    """One service; its form is checked, and nothing else uses it."""
+
     name: str
     health_path: str = "/health"
 
@@ -73,7 +75,6 @@
             version=manifest.version,
             routes={_read_endpoint(r): _read_route(r) for r in manifest.routes},
             idle_timeout=manifest.limits.idle_timeout_ms / 1000,
-            health_paths={s.name: s.health_path for s in manifest.services},
         )
     except (msgspec.ValidationError, OSError, ValueError, struct.error) as error:
         raise DecodeError(f"not a configuration: {error}") from error
--- a/shedsill/platform/node.py
+++ b/shedsill/platform/node.py
@@ -29,14 +29,19 @@
             from shedsill.platform.manifest import TABLE_SOURCE
 
             return make_balancer(
-                file, codec=HeadCodec(), platform=store, table=TABLE_SOURCE
+                settings.node,
+                source=file,
+                codec=HeadCodec(),
+                platform=store,
+                table=TABLE_SOURCE,
             )
         case Role.AGENT:
             from shedsill.datagram._runtime.agent import make_agent
             from shedsill.platform.heartbeats import InstanceCalls
 
             return make_agent(
-                file,
+                settings.node,
+                source=file,
                 codec=HeadCodec(),
                 platform=store,
                 heartbeats=InstanceCalls(),
--- a/shedsill/tests/test_platform_store.py
+++ b/shedsill/tests/test_platform_store.py
@@ -183,25 +183,25 @@
     raise AssertionError("the report was not written in time")
 
 
-def make_writer(store: ObjectStore) -> tuple[ReportWriter, Callable]:
-    writer = ReportWriter(
-        platform=store,
-        write_note=lambda note: None,
-        take_earlier=lambda value: None,
-    )
+def make_writer(store: ObjectStore) -> ReportWriter:
     tasks = set()
 
     def run_beside(coroutine) -> None:
         tasks.add(asyncio.get_running_loop().create_task(coroutine))
 
-    return writer, run_beside
+    return ReportWriter(
+        platform=store,
+        write_note=lambda note: None,
+        take_earlier=lambda value: None,
+        run_beside=run_beside,
+    )
 
 
 def test_a_report_replaces_one_of_an_earlier_run() -> None:
     async def scenario(stand_in: ObjectStoreStandIn, store: ObjectStore) -> None:
         stand_in.write(REPORT_KIND, REPORT.host, {"old": True})
-        writer, run_beside = make_writer(store)
-        writer.store(REPORT, run_beside)
+        writer = make_writer(store)
+        writer.store(REPORT)
         await settle(writer)
         kept = stand_in.objects[REPORT_KIND, REPORT.host]
         assert kept["spec"] == dump_report(REPORT)
@@ -211,12 +211,12 @@
 
 def test_a_report_is_stored_again_after_a_lost_answer_and_an_outage() -> None:
     async def scenario(stand_in: ObjectStoreStandIn, store: ObjectStore) -> None:
-        writer, run_beside = make_writer(store)
+        writer = make_writer(store)
         stand_in.faults.lose_answers = 1
-        writer.store(REPORT, run_beside)
+        writer.store(REPORT)
         await settle(writer)
         stand_in.faults.down = "busy"
-        writer.remove(REPORT, run_beside)
+        writer.remove(REPORT)
         await asyncio.sleep(0.2)
         assert (REPORT_KIND, REPORT.host) in stand_in.objects
         stand_in.faults.down = ""
