--- a/shedsill/datagram/_agent_packets.py
+++ b/shedsill/datagram/_agent_packets.py
@@ -35,6 +35,7 @@
     SYN,
     Packet,
     acknowledges,
+    get_copy_delay,
     is_opening,
 )
 from shedsill.datagram._selection import REFUSAL_PAUSE, number_service
@@ -85,7 +86,12 @@
     if flow is None:
         if len(state.flows) >= MAX_FLOWS:
             return return_packet(state, packet, balancer, ReturnReason.NOT_TAKING, now)
-        flow = AgentFlow(phase=Phase.HALF_OPEN, seen=now, balancer=balancer)
+        flow = AgentFlow(
+            phase=Phase.HALF_OPEN,
+            seen=now,
+            balancer=balancer,
+            delay=get_copy_delay(packet),
+        )
         state.flows[packet.flow] = flow
     flow.seen = now
     flow.balancer = balancer
--- a/shedsill/datagram/_agent_state.py
+++ b/shedsill/datagram/_agent_state.py
@@ -55,6 +55,9 @@
         Whether a request has come and no answer has begun.
     working : bool
         Whether the upstream was given that request.
+    delay : float
+        Seconds by which the caller asked before the next request came: its first
+        opening packets were lost.
     balancer : str
         Where the last packet came from.
     """
@@ -69,6 +72,7 @@
     working: bool = False
     waiting_since: float = 0.0
     working_since: float = 0.0
+    delay: float = 0.0
     closed: bool = False
 
 
@@ -90,6 +94,9 @@
         Those of them that the upstream was given.
     held : dict of bytes to HeldRequest
         The others, by flow; see `shedsill.datagram._slots`.
+    earlier_boot : str
+        The upstream's run as an earlier run of this agent knew it; empty where
+        that is not known.
     health : Health
         What the upstream's own answers say of it.
     cold_until : float
@@ -117,6 +124,7 @@
     held: dict[bytes, HeldRequest] = field(default_factory=dict)
     average: float = 0.0
     average_at: float = 0.0
+    earlier_boot: str = ""
     health: Health = field(default_factory=Health)
     refusing_until: float = 0.0
     owed_since: float | None = None
--- a/shedsill/datagram/_packet.py
+++ b/shedsill/datagram/_packet.py
@@ -18,6 +18,11 @@
 to be one of the caller's first packets; the platform's bound for resets."""
 
 
+COPY_DELAYS = (0.0, 0.2, 0.6)
+"""Seconds after a caller's first opening packet at which it sends each copy, by
+the number of copies sent before; the platform's documented figures."""
+
+
 class Packet(Struct):
     """One packet; `data` is what is sent on, the rest was read from it.
 
@@ -67,6 +72,18 @@
     return packet.flags & (SYN | ACK) == SYN
 
 
+def get_copy_delay(packet: Packet) -> float:
+    """Return how long before an opening packet its caller sent the first copy.
+
+    Examples
+    --------
+    >>> packet = Packet(b"", b"", SYN, 2, seq=9, ack=2, length=0, data=b"")
+    >>> get_copy_delay(packet)
+    0.6
+    """
+    return COPY_DELAYS[min(packet.copy, len(COPY_DELAYS) - 1)]
+
+
 def measure_advance(later: int, earlier: int) -> int:
     """Return how far one sequence number is ahead of another, modulo 2**32.
 
--- a/shedsill/datagram/_runtime/agent.py
+++ b/shedsill/datagram/_runtime/agent.py
@@ -73,6 +73,7 @@
     def begin(self) -> None:
         """Make the agent known and take heartbeats."""
         _agent.start(self.state, self.now)
+        self.run_beside(self.reports.read_earlier(self.settings.host))
         if self.settings.heartbeats is not None:
             self.run_beside(
                 self.serve(self.settings.heartbeats, self._answer_heartbeat)
--- a/shedsill/datagram/_runtime/node.py
+++ b/shedsill/datagram/_runtime/node.py
@@ -104,7 +104,7 @@
             "shedsill_latency_seconds",
             "Balancer: offer to answer of an opening; agent: request to answer",
         )
-        self._reports = ReportWriter(
+        self.reports = ReportWriter(
             platform=platform,
             write_note=self.write_note,
             take_earlier=self._take_earlier_report,
@@ -146,7 +146,7 @@
         self.begin()
         self._tick()
         await self._exited.wait()
-        await self._reports.finish()
+        await self.reports.finish()
         self._close()
 
     def begin(self) -> None:
@@ -319,9 +319,9 @@
             case ObserveLatency(seconds=seconds):
                 self.latency.observe(seconds)
             case StoreReport(report=report):
-                self._reports.store(report)
+                self.reports.store(report)
             case RemoveReport(report=report):
-                self._reports.remove(report)
+                self.reports.remove(report)
             case Exit():
                 self._exited.set()
             case ForwardPacket() | SendToUpstream() | SendToCaller():
--- a/shedsill/datagram/_runtime/reports.py
+++ b/shedsill/datagram/_runtime/reports.py
@@ -12,10 +12,13 @@
 from shedsill.coordination.platform import (
     Conflict,
     Delete,
+    Found,
+    Get,
     Outcome,
     Platform,
     Put,
     Stored,
+    StoredObject,
     Unavailable,
 )
 from shedsill.datagram._messages import NodeReport, dump_report
@@ -67,6 +70,20 @@
         """Have the store hold a report."""
         self._want(report, removing=False)
 
+    async def read_earlier(self, host: str) -> None:
+        """Pass on what an earlier run of this node has left, if the store answers.
+
+        Otherwise the first write meets it.
+        """
+        match await self.platform.call(Get(kind=REPORT_KIND, name=host)):
+            case Found(object=StoredObject(version=version, value=value)):
+                if self.version == 0:
+                    self.version = version
+                    self._take_earlier(value)
+            case Unavailable(reason=reason):
+                fields = {"reason": reason, "call": "earlier report"}
+                self.write_note(Note(event=LogEvent.PLATFORM_FAILED, fields=fields))
+
     def remove(self, report: NodeReport) -> None:
         """Have the store hold no report of this node."""
         self._want(report, removing=True)
--- a/shedsill/datagram/_selection.py
+++ b/shedsill/datagram/_selection.py
@@ -45,8 +45,8 @@
 full, or not up yet, and each further try costs its caller a round trip."""
 
 DEFAULT_SLOTS = 2
-"""Slots assumed of an upstream whose first heartbeat has not come yet; the
-fewest of any deployment described."""
+"""Slots assumed of an upstream of which neither a heartbeat nor an earlier report
+has told; the fewest of any deployment described."""
 
 TAKING = (UpstreamState.READY, UpstreamState.UNKNOWN)
 
--- a/shedsill/datagram/_slots.py
+++ b/shedsill/datagram/_slots.py
@@ -4,8 +4,9 @@
 first served.  Once that queue is longer than callers want to wait, every request
 in it is late, the ones that have just come too.  So the agent holds requests
 back while the slots are taken, and gives the upstream the most urgent one when
-a slot is free: the higher priority first, and of one priority the latest, whose
-caller has waited the least.  None is held for longer than
+a slot is free: the higher priority first, and of one priority the one whose
+caller has waited the least, as far as the copies of its opening packet tell.
+None is held for longer than
 `HOLD_SHARE` of its timeout; after that the upstream's own queue has it.
 
 Only the first content of a request is held.  The rest of a flow is never
@@ -29,6 +30,7 @@
 from shedsill.datagram._effects import Effect, ObserveLatency, SendToUpstream
 from shedsill.datagram._health import note_answer
 from shedsill.datagram._packet import SEQUENCE_SPACE, Packet, measure_advance
+from shedsill.datagram._selection import DEFAULT_SLOTS
 
 SPARE_REQUESTS = 1
 """Requests given to the upstream beyond its slots, so that a slot that becomes
@@ -52,6 +54,8 @@
         The flow's content since the request began; other packets pass.
     since : float
         When it came.
+    asked : float
+        When its caller first asked for it, as far as known.
     urgency : int
         Priority of its route; 0 is the highest.
     until : float
@@ -60,6 +64,7 @@
 
     packets: list[Packet]
     since: float
+    asked: float
     urgency: int
     until: float
 
@@ -77,10 +82,12 @@
         flow.waiting = True
         flow.waiting_since = now
         change_busy(state, 1, now)
+        asked, flow.delay = now - flow.delay, 0.0
         if not packet.bulk and _is_full(state):
             state.held[packet.flow] = HeldRequest(
                 packets=[packet],
                 since=now,
+                asked=asked,
                 urgency=packet.urgency,
                 until=now + packet.timeout * HOLD_SHARE,
             )
@@ -111,8 +118,8 @@
 
 
 def _is_full(state: AgentState) -> bool:
-    slots = state.report.load.slots
-    return slots > 0 and state.working >= slots + SPARE_REQUESTS
+    slots = state.report.load.slots or DEFAULT_SLOTS
+    return state.working >= slots + SPARE_REQUESTS
 
 
 def _note_held(state: AgentState, packet: Packet) -> Note:
@@ -196,7 +203,7 @@
 
 
 def _rank(held: HeldRequest) -> tuple[int, float]:
-    return held.urgency, -held.since
+    return held.urgency, -held.asked
 
 
 def _pass_on(state: AgentState, key: bytes, now: float) -> list[Effect]:
--- a/shedsill/datagram/_upstream.py
+++ b/shedsill/datagram/_upstream.py
@@ -76,7 +76,8 @@
     before = state.report.boot
     state.report = replace(state.report, boot=heartbeat.boot)
     state.heartbeat_serial = 0
-    if heartbeat.serial == FIRST_SERIAL:
+    began_here = heartbeat.serial == FIRST_SERIAL
+    if began_here or state.earlier_boot not in ("", heartbeat.boot):
         state.complete = True
     if not before:
         return []
@@ -88,17 +89,21 @@
 
 
 def take_earlier_report(state: AgentState, event: EarlierReportRead) -> list[Effect]:
-    """Learn from the last run of this agent whether the upstream is the same.
+    """Learn from the last run of this agent what the upstream was like.
 
     If it has restarted since, it holds no flow from before this agent's start,
-    and packets of unknown flows need not be tried on it.
+    and packets of unknown flows need not be tried on it.  Its slots are taken to
+    be as many as before until its heartbeat tells.
     """
-    earlier = event.report
-    if earlier.incarnation == state.report.incarnation:
+    earlier, report = event.report, state.report
+    if earlier.incarnation == report.incarnation:
         return []
-    known = earlier.boot and state.report.boot
-    if known and earlier.boot != state.report.boot:
+    state.earlier_boot = earlier.boot
+    if earlier.boot and report.boot and earlier.boot != report.boot:
         state.complete = True
+    if not report.load.slots and earlier.service == report.service:
+        load = replace(report.load, slots=earlier.load.slots)
+        state.report = replace(report, load=load)
     fields = {
         "boot": state.report.boot,
         "earlier": earlier.boot,
