--- a/shedsill/datagram/_slots.py
+++ b/shedsill/datagram/_slots.py
@@ -36,9 +36,11 @@
 """Requests given to the upstream beyond its slots, so that a slot that becomes
 free does not wait for the agent."""
 
-HOLD_SHARE = 0.45
+HOLD_SHARE = 0.7
 """Share of the route's timeout for which a request is held at most, so that what
-is late still has time to be served."""
+is late still has time to be served.  At 0.45, as played, the requests that had
+waited through a power loss all left at once while upstreams were still cold, and
+made 0.5 s of fresh ones late."""
 
 WAITING_LIMIT = 4.0
 """Seconds after which an unanswered request no longer counts: its caller has
