--- a/benchmarks/agents.py
+++ b/benchmarks/agents.py
@@ -16,12 +16,12 @@
 
 from benchmarks.results import Result
 from shedsill._addresses import Address
-from shedsill._effects import Deliver
-from shedsill._frames import ToCaller, ToUpstream, decode_frame, encode_frame
-from shedsill._keys import KeyRing, Route
-from shedsill._runtime.certificates import parse_certificate
-from shedsill._runtime.flows import FlowHooks, FlowTable
-from shedsill._runtime.quic import Minter, make_quic_configuration
+from shedsill.http3._effects import Deliver
+from shedsill.http3._frames import ToCaller, ToUpstream, decode_frame, encode_frame
+from shedsill.http3._keys import KeyRing, Route
+from shedsill.http3._runtime.certificates import parse_certificate
+from shedsill.http3._runtime.flows import FlowHooks, FlowTable
+from shedsill.http3._runtime.quic import Minter, make_quic_configuration
 from shedsill.testing.certificates import make_certificate
 from shedsill.testing.client import open_client
 from shedsill.testing.documents import make_layout
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -13,23 +13,23 @@
 
 from benchmarks.datapath import KEYS, make_state
 from benchmarks.results import Result
-from shedsill._accepting import Inputs, accept
 from shedsill._addresses import Address
-from shedsill._configuration import (
-    Configuration,
-    decode_configuration,
-    encode_configuration,
-)
-from shedsill._events import Tick
-from shedsill._frames import Load, NodeReport, encode_frame
-from shedsill._node import Vitals, make_answer, make_heartbeat
-from shedsill._reducer import reduce
-from shedsill._resources import Service, Upstream, UpstreamSet
 from shedsill.coordination.membership import (
     FAN_OUT,
     REPORTS_PER_HEARTBEAT,
     merge_reports,
 )
+from shedsill.http3._accepting import Inputs, accept
+from shedsill.http3._configuration import (
+    Configuration,
+    decode_configuration,
+    encode_configuration,
+)
+from shedsill.http3._events import Tick
+from shedsill.http3._frames import Load, NodeReport, encode_frame
+from shedsill.http3._node import Vitals, make_answer, make_heartbeat
+from shedsill.http3._reducer import reduce
+from shedsill.http3._resources import Service, Upstream, UpstreamSet
 
 SIZES = (50, 100, 200, 400, 800)
 PER_SERVICE = 4
--- a/benchmarks/datapath.py
+++ b/benchmarks/datapath.py
@@ -11,24 +11,24 @@
 from attrs import evolve
 
 from benchmarks.results import Result
-from shedsill._acceptance import Acceptor
-from shedsill._accepting import Inputs, accept
 from shedsill._addresses import Address
-from shedsill._balancer import BalancerState
 from shedsill._catalogue import LogEvent
-from shedsill._configuration import Configuration
-from shedsill._events import CallerDatagram, ConfigurationOffered
-from shedsill._frames import Load, ToCaller, encode_frame
-from shedsill._keys import KeyRing, Route
 from shedsill._limits import Rate
-from shedsill._node import Node
-from shedsill._reducer import reduce
-from shedsill._resources import Service, Upstream, UpstreamSet
-from shedsill._routing import FlowLimits, Router
-from shedsill._runtime.balancer import Balancer, BalancerOptions, BalancerSettings
-from shedsill._runtime.notes import Notebook
 from shedsill.coordination.lease import Lease
 from shedsill.coordination.platform import Call, Outcome, Unavailable
+from shedsill.http3._acceptance import Acceptor
+from shedsill.http3._accepting import Inputs, accept
+from shedsill.http3._balancer import BalancerState
+from shedsill.http3._configuration import Configuration
+from shedsill.http3._events import CallerDatagram, ConfigurationOffered
+from shedsill.http3._frames import Load, ToCaller, encode_frame
+from shedsill.http3._keys import KeyRing, Route
+from shedsill.http3._node import Node
+from shedsill.http3._reducer import reduce
+from shedsill.http3._resources import Service, Upstream, UpstreamSet
+from shedsill.http3._routing import FlowLimits, Router
+from shedsill.http3._runtime.balancer import Balancer, BalancerOptions, BalancerSettings
+from shedsill.http3._runtime.notes import Notebook
 from shedsill.testing.ports import find_ports
 
 KEYS = KeyRing((bytes(range(32)),))
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -15,22 +15,22 @@
 
 from benchmarks.placement import make_agent, make_steady
 from benchmarks.results import Result
-from shedsill._accepting import Inputs, accept
 from shedsill._addresses import Address
-from shedsill._agent_state import AgentState
-from shedsill._answers import RecordedAnswer
-from shedsill._configuration import Configuration
-from shedsill._effects import Answer, Refuse, StartUpstream
-from shedsill._events import (
+from shedsill.http3._accepting import Inputs, accept
+from shedsill.http3._agent_state import AgentState
+from shedsill.http3._answers import RecordedAnswer
+from shedsill.http3._configuration import Configuration
+from shedsill.http3._effects import Answer, Refuse, StartUpstream
+from shedsill.http3._events import (
     ConfigurationOffered,
     RequestArrived,
     Tick,
     UpstreamAnswered,
     UpstreamLoadRead,
 )
-from shedsill._placement import TwoCandidates
-from shedsill._reducer import reduce
-from shedsill._resources import RequestClass, Service, Upstream, UpstreamSet
+from shedsill.http3._placement import TwoCandidates
+from shedsill.http3._reducer import reduce
+from shedsill.http3._resources import RequestClass, Service, Upstream, UpstreamSet
 
 SERVICE_TIME = 0.2
 SECONDS = 60.0
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -16,26 +16,26 @@
 
 from benchmarks.datapath import KEYS, make_state
 from benchmarks.results import Result
-from shedsill._accepting import Inputs, accept
 from shedsill._addresses import Address
-from shedsill._admission import Admission, note_failure
-from shedsill._agent_state import AgentSettings, AgentState, get_load
-from shedsill._balancer import BalancerState
-from shedsill._configuration import Configuration, UpstreamState
-from shedsill._effects import Deliver, RefuseFlow, Send
-from shedsill._events import (
+from shedsill._limits import Rate
+from shedsill.http3._accepting import Inputs, accept
+from shedsill.http3._admission import Admission, note_failure
+from shedsill.http3._agent_state import AgentSettings, AgentState, get_load
+from shedsill.http3._balancer import BalancerState
+from shedsill.http3._configuration import Configuration, UpstreamState
+from shedsill.http3._effects import Deliver, RefuseFlow, Send
+from shedsill.http3._events import (
     CallerDatagram,
     ConfigurationOffered,
     FlowClosed,
     FlowOpened,
     FrameReceived,
 )
-from shedsill._frames import Load, ToCaller, ToUpstream
-from shedsill._limits import Rate
-from shedsill._node import Node
-from shedsill._placement import HashOnly, Policy, TwoCandidates, rank_upstreams
-from shedsill._reducer import reduce
-from shedsill._resources import Action, Change, Service, Upstream, UpstreamSet
+from shedsill.http3._frames import Load, ToCaller, ToUpstream
+from shedsill.http3._node import Node
+from shedsill.http3._placement import HashOnly, Policy, TwoCandidates, rank_upstreams
+from shedsill.http3._reducer import reduce
+from shedsill.http3._resources import Action, Change, Service, Upstream, UpstreamSet
 
 PER_UPSTREAM = 800
 FLOW_RATE = 2_000.0
--- a/properties/test_bytes.py
+++ b/properties/test_bytes.py
@@ -9,19 +9,19 @@
 from hypothesis import strategies as st
 
 from shedsill._addresses import Address
-from shedsill._configuration import decode_configuration_text
-from shedsill._events import CallerDatagram
-from shedsill._frames import decode_frame
-from shedsill._keys import KeyRing, seal_envelope
-from shedsill._packets import read_packet
-from shedsill._peers import (
+from shedsill.errors import DecodeError, DocumentError
+from shedsill.http3._configuration import decode_configuration_text
+from shedsill.http3._events import CallerDatagram
+from shedsill.http3._frames import decode_frame
+from shedsill.http3._keys import KeyRing, seal_envelope
+from shedsill.http3._packets import read_packet
+from shedsill.http3._peers import (
     decode_handover,
     decode_peer_answer,
     decode_peer_request,
 )
-from shedsill._resources import parse_documents
-from shedsill._routing import Router, route_datagram
-from shedsill.errors import DecodeError, DocumentError
+from shedsill.http3._resources import parse_documents
+from shedsill.http3._routing import Router, route_datagram
 from shedsill.tests.test_routing import CONFIGURATION
 
 KEYS = KeyRing((bytes(range(32)),))
--- a/properties/test_world.py
+++ b/properties/test_world.py
@@ -19,8 +19,8 @@
     rule,
 )
 
-from shedsill._answers import RequestOutcome
-from shedsill._resources import Action, Change, Upstream, UpstreamSet
+from shedsill.http3._answers import RequestOutcome
+from shedsill.http3._resources import Action, Change, Upstream, UpstreamSet
 from shedsill.testing.parts import CallerFlow
 from shedsill.testing.world import World
 
--- a/shedsill/_cli/daemons.py
+++ b/shedsill/_cli/daemons.py
@@ -9,9 +9,6 @@
 
 import click
 
-from shedsill._admission import AdmissionSettings
-from shedsill._agent_state import AgentSettings
-from shedsill._balancer import BalancerSettings
 from shedsill._cli.exits import EXIT_FAILED
 from shedsill._cli.settings import (
     FORMATS,
@@ -26,16 +23,19 @@
     read_keys,
     read_rate,
 )
-from shedsill._placement import HashOnly, Policy, TwoCandidates
-from shedsill._routing import FlowLimits
-from shedsill._runtime.agent import Agent, AgentOptions
-from shedsill._runtime.balancer import LEASE_TIME, Balancer, BalancerOptions
-from shedsill._runtime.certificates import CertificateLoader, check_certificate
-from shedsill._runtime.driver import Driver
-from shedsill._runtime.notes import Notebook, configure_logging
-from shedsill._runtime.platform import HttpPlatform
-from shedsill._runtime.upstream import UpstreamClient
 from shedsill.errors import SettingError
+from shedsill.http3._admission import AdmissionSettings
+from shedsill.http3._agent_state import AgentSettings
+from shedsill.http3._balancer import BalancerSettings
+from shedsill.http3._placement import HashOnly, Policy, TwoCandidates
+from shedsill.http3._routing import FlowLimits
+from shedsill.http3._runtime.agent import Agent, AgentOptions
+from shedsill.http3._runtime.balancer import LEASE_TIME, Balancer, BalancerOptions
+from shedsill.http3._runtime.certificates import CertificateLoader, check_certificate
+from shedsill.http3._runtime.driver import Driver
+from shedsill.http3._runtime.notes import Notebook, configure_logging
+from shedsill.http3._runtime.platform import HttpPlatform
+from shedsill.http3._runtime.upstream import UpstreamClient
 
 POLICIES: dict[str, Policy] = {
     "two-candidates": TwoCandidates(),
--- a/shedsill/_cli/operator.py
+++ b/shedsill/_cli/operator.py
@@ -12,7 +12,6 @@
 import click
 import yaml
 
-from shedsill._acceptance import CLUSTER_STATUS, STATUS_KIND
 from shedsill._catalogue import LogEvent
 from shedsill._cli.exits import (
     EXIT_CONFLICT,
@@ -23,17 +22,6 @@
 )
 from shedsill._cli.settings import check_url
 from shedsill._cli.writes import Same, Stale, Unwritten, Written, write_document
-from shedsill._node import CONFIGURATION_KIND, CONFIGURATION_NAME
-from shedsill._resources import (
-    KINDS,
-    Document,
-    decode_spec,
-    encode_spec,
-    get_kind,
-    parse_documents,
-)
-from shedsill._runtime.platform import HttpPlatform
-from shedsill._status import NODE_KIND
 from shedsill.coordination.backoff import Backoff
 from shedsill.coordination.platform import (
     Conflict,
@@ -49,6 +37,18 @@
 )
 from shedsill.coordination.watch import watch_kinds
 from shedsill.errors import DocumentError
+from shedsill.http3._acceptance import CLUSTER_STATUS, STATUS_KIND
+from shedsill.http3._node import CONFIGURATION_KIND, CONFIGURATION_NAME
+from shedsill.http3._resources import (
+    KINDS,
+    Document,
+    decode_spec,
+    encode_spec,
+    get_kind,
+    parse_documents,
+)
+from shedsill.http3._runtime.platform import HttpPlatform
+from shedsill.http3._status import NODE_KIND
 
 FINAL_PHASES = ("done", "rejected")
 ACCEPTED_PHASES = ("accepted", *FINAL_PHASES)
--- a/shedsill/_cli/settings.py
+++ b/shedsill/_cli/settings.py
@@ -10,9 +10,9 @@
 import click
 
 from shedsill._addresses import Address, parse_address
-from shedsill._keys import KeyRing, parse_secret
 from shedsill._limits import Rate
 from shedsill.errors import DocumentError, SettingError
+from shedsill.http3._keys import KeyRing, parse_secret
 
 LEVELS = ("TRACE", "DEBUG", "INFO", "WARNING", "ERROR")
 FORMATS = ("text", "json")
--- a/shedsill/_cli/writes.py
+++ b/shedsill/_cli/writes.py
@@ -7,7 +7,6 @@
 
 from attrs import frozen
 
-from shedsill._resources import Document, encode_spec, get_kind
 from shedsill.coordination.platform import (
     Conflict,
     Found,
@@ -18,6 +17,7 @@
     StoredObject,
 )
 from shedsill.coordination.update import CHANGE_ID
+from shedsill.http3._resources import Document, encode_spec, get_kind
 
 READ_BACKS = 5
 READ_BACK_PAUSE = 0.3
--- a/shedsill/_acceptance.py
+++ b/shedsill/http3/_acceptance.py
@@ -12,7 +12,20 @@
 import immutables
 from attrs import evolve, field, frozen
 
-from shedsill._accepting import (
+from shedsill._catalogue import LogEvent
+from shedsill.coordination.lease import Lease, is_held
+from shedsill.coordination.membership import list_live
+from shedsill.coordination.platform import List as ListCall
+from shedsill.coordination.platform import (
+    Listing,
+    ListMachines,
+    Machines,
+    Put,
+    StoredObject,
+    Watch,
+)
+from shedsill.errors import DecodeError, DocumentError
+from shedsill.http3._accepting import (
     Acceptance,
     Inputs,
     InvalidResource,
@@ -20,18 +33,17 @@
     VerdictKind,
     accept,
 )
-from shedsill._catalogue import LogEvent
-from shedsill._configuration import (
+from shedsill.http3._configuration import (
     Configuration,
     UpstreamState,
     decode_configuration,
     encode_configuration,
     is_newer,
 )
-from shedsill._effects import CallPlatform, Effect, Note
-from shedsill._node import CONFIGURATION_KIND, CONFIGURATION_NAME, Node
-from shedsill._purposes import Purpose
-from shedsill._resources import (
+from shedsill.http3._effects import CallPlatform, Effect, Note
+from shedsill.http3._node import CONFIGURATION_KIND, CONFIGURATION_NAME, Node
+from shedsill.http3._purposes import Purpose
+from shedsill.http3._resources import (
     KINDS,
     Action,
     Change,
@@ -39,19 +51,7 @@
     UpstreamSet,
     decode_spec,
 )
-from shedsill._status import NODE_KIND, NodeStatus
-from shedsill.coordination.lease import Lease, is_held
-from shedsill.coordination.membership import list_live
-from shedsill.coordination.platform import List as ListCall
-from shedsill.coordination.platform import (
-    Listing,
-    ListMachines,
-    Machines,
-    Put,
-    StoredObject,
-    Watch,
-)
-from shedsill.errors import DecodeError, DocumentError
+from shedsill.http3._status import NODE_KIND, NodeStatus
 
 STATUS_KIND = "status"
 CLUSTER_STATUS = "cluster"
--- a/shedsill/_accepting.py
+++ b/shedsill/http3/_accepting.py
@@ -13,14 +13,14 @@
 
 from attrs import evolve, frozen
 
-from shedsill._configuration import (
+from shedsill.http3._configuration import (
     AcceptedService,
     AcceptedUpstream,
     Configuration,
     Departed,
     UpstreamState,
 )
-from shedsill._resources import Action, Change, Service, Upstream, UpstreamSet
+from shedsill.http3._resources import Action, Change, Service, Upstream, UpstreamSet
 
 MAX_SERVICE_NUMBER = 65_535
 MAX_DEPARTED = 256
--- a/shedsill/_admission.py
+++ b/shedsill/http3/_admission.py
@@ -13,8 +13,8 @@
 import immutables
 from attrs import evolve, field, frozen
 
-from shedsill._outcomes import OutcomeKey
-from shedsill._resources import RequestClass, RequestKind
+from shedsill.http3._outcomes import OutcomeKey
+from shedsill.http3._resources import RequestClass, RequestKind
 
 SMOOTHING = 0.1
 MAX_RETRY_AFTER = 60
@@ -38,7 +38,7 @@
     Attributes
     ----------
     number, flow, stream : int
-        See `shedsill._events.RequestArrived`.
+        See `shedsill.http3._events.RequestArrived`.
     expires : float
         Local time by which it has to be answered; infinite for streams.
     origin, ticket_number : OutcomeKey or None, int
--- a/shedsill/_agent.py
+++ b/shedsill/http3/_agent.py
@@ -4,18 +4,18 @@
 
 from attrs import evolve
 
-from shedsill._admission import count_free, note_upstream_load, try_again
-from shedsill._agent_state import AgentState, get_vitals
 from shedsill._catalogue import LogEvent
-from shedsill._configuration import Configuration
-from shedsill._drain import (
+from shedsill.http3._admission import count_free, note_upstream_load, try_again
+from shedsill.http3._agent_state import AgentState, get_vitals
+from shedsill.http3._configuration import Configuration
+from shedsill.http3._drain import (
     advance_drain,
     begin_drain,
     report_status,
     update_drain,
 )
-from shedsill._effects import Effect, Note, Send
-from shedsill._events import (
+from shedsill.http3._effects import Effect, Note, Send
+from shedsill.http3._events import (
     ConfigurationOffered,
     FlowClosed,
     FlowOpened,
@@ -25,22 +25,22 @@
     Tick,
     UpstreamLoadRead,
 )
-from shedsill._flows import (
+from shedsill.http3._flows import (
     forget_decisions,
     move_reply_paths,
     note_reply_path,
     take_frame,
 )
-from shedsill._frames import Heartbeat, ToUpstream
-from shedsill._node import (
+from shedsill.http3._frames import Heartbeat, ToUpstream
+from shedsill.http3._node import (
     hear_frame,
     make_answer,
     offer_configuration,
     send_heartbeats,
 )
-from shedsill._outcomes import add_origin, drop_expired, take_transfer
-from shedsill._requests import expire_requests, start_waiting
-from shedsill._resources import RequestKind, Service
+from shedsill.http3._outcomes import add_origin, drop_expired, take_transfer
+from shedsill.http3._requests import expire_requests, start_waiting
+from shedsill.http3._resources import RequestKind, Service
 
 MAX_PROBED_PATHS = 8
 DEFAULT_DEADLINE = 30.0
--- a/shedsill/_agent_state.py
+++ b/shedsill/http3/_agent_state.py
@@ -6,14 +6,14 @@
 from attrs import field, frozen
 
 from shedsill._addresses import Address
-from shedsill._admission import Admission
-from shedsill._frames import Load
-from shedsill._keys import KeyRing
 from shedsill._limits import Bucket, Rate
-from shedsill._node import Node, Vitals
-from shedsill._outcomes import Ledger, OutcomeKey, Transfer
-from shedsill._placement import Policy, TwoCandidates
-from shedsill._status import StatusWriter
+from shedsill.http3._admission import Admission
+from shedsill.http3._frames import Load
+from shedsill.http3._keys import KeyRing
+from shedsill.http3._node import Node, Vitals
+from shedsill.http3._outcomes import Ledger, OutcomeKey, Transfer
+from shedsill.http3._placement import Policy, TwoCandidates
+from shedsill.http3._status import StatusWriter
 
 
 @frozen(kw_only=True)
--- a/shedsill/_balancer.py
+++ b/shedsill/http3/_balancer.py
@@ -5,7 +5,16 @@
 import immutables
 from attrs import evolve, field, frozen
 
-from shedsill._acceptance import (
+from shedsill._catalogue import LogEvent
+from shedsill.coordination.lease import is_held, note_outcome, plan_call
+from shedsill.coordination.platform import (
+    Changed,
+    Listing,
+    Machines,
+    Stored,
+    Unavailable,
+)
+from shedsill.http3._acceptance import (
     CLUSTER_STATUS,
     RETRY_PAUSE,
     Acceptor,
@@ -18,10 +27,9 @@
     take_listing,
     take_machines,
 )
-from shedsill._catalogue import LogEvent
-from shedsill._configuration import is_newer
-from shedsill._effects import CallPlatform, Effect, Exit, Note, Send
-from shedsill._events import (
+from shedsill.http3._configuration import is_newer
+from shedsill.http3._effects import CallPlatform, Effect, Exit, Note, Send
+from shedsill.http3._events import (
     CallerDatagram,
     ConfigurationOffered,
     FrameReceived,
@@ -29,9 +37,9 @@
     StopRequested,
     Tick,
 )
-from shedsill._frames import Heartbeat, ToCaller
-from shedsill._keys import KeyRing
-from shedsill._node import (
+from shedsill.http3._frames import Heartbeat, ToCaller
+from shedsill.http3._keys import KeyRing
+from shedsill.http3._node import (
     Node,
     Vitals,
     hear_frame,
@@ -39,8 +47,8 @@
     offer_configuration,
     send_heartbeats,
 )
-from shedsill._purposes import Purpose
-from shedsill._routing import (
+from shedsill.http3._purposes import Purpose
+from shedsill.http3._routing import (
     Router,
     find_quiet,
     note_answer,
@@ -49,20 +57,12 @@
     relay_answer,
     route_datagram,
 )
-from shedsill._status import (
+from shedsill.http3._status import (
     NodeStatus,
     StatusWriter,
     take_status_outcome,
     write_status,
 )
-from shedsill.coordination.lease import is_held, note_outcome, plan_call
-from shedsill.coordination.platform import (
-    Changed,
-    Listing,
-    Machines,
-    Stored,
-    Unavailable,
-)
 
 PROBE_IDLE = 1.0
 
--- a/shedsill/_configuration.py
+++ b/shedsill/http3/_configuration.py
@@ -11,11 +11,11 @@
 from attrs import field, frozen
 
 from shedsill._addresses import Address, parse_address
-from shedsill._resources import (
+from shedsill.errors import DecodeError
+from shedsill.http3._resources import (
     CONVERTER,
     Service,
 )
-from shedsill.errors import DecodeError
 
 
 class UpstreamState(enum.Enum):
--- a/shedsill/_drain.py
+++ b/shedsill/http3/_drain.py
@@ -4,19 +4,19 @@
 
 from attrs import evolve
 
-from shedsill._agent_state import AgentState, Leaving
 from shedsill._catalogue import LogEvent
-from shedsill._configuration import UpstreamState
-from shedsill._effects import (
+from shedsill.http3._agent_state import AgentState, Leaving
+from shedsill.http3._configuration import UpstreamState
+from shedsill.http3._effects import (
     AnnounceDrain,
     Effect,
     Exit,
     HandOver,
     Note,
 )
-from shedsill._events import HandoverDone
-from shedsill._outcomes import Ledger, add_origin, make_transfers
-from shedsill._status import NodeStatus, write_status
+from shedsill.http3._events import HandoverDone
+from shedsill.http3._outcomes import Ledger, add_origin, make_transfers
+from shedsill.http3._status import NodeStatus, write_status
 
 HANDOVER_PAUSE = 1.0
 
--- a/shedsill/_events.py
+++ b/shedsill/http3/_events.py
@@ -10,12 +10,12 @@
 from attrs import frozen
 
 from shedsill._addresses import Address
-from shedsill._answers import RecordedAnswer, RequestOutcome
-from shedsill._configuration import Configuration
-from shedsill._frames import Frame
-from shedsill._outcomes import Transfer
-from shedsill._purposes import Purpose
 from shedsill.coordination.platform import Outcome
+from shedsill.http3._answers import RecordedAnswer, RequestOutcome
+from shedsill.http3._configuration import Configuration
+from shedsill.http3._frames import Frame
+from shedsill.http3._outcomes import Transfer
+from shedsill.http3._purposes import Purpose
 
 
 @frozen(kw_only=True)
--- a/shedsill/_flows.py
+++ b/shedsill/http3/_flows.py
@@ -5,10 +5,11 @@
 from attrs import evolve
 
 from shedsill._addresses import Address
-from shedsill._agent_state import AgentState, Hint, Placed, get_load
 from shedsill._catalogue import LogEvent
-from shedsill._configuration import AcceptedUpstream
-from shedsill._effects import (
+from shedsill._limits import take_token
+from shedsill.http3._agent_state import AgentState, Hint, Placed, get_load
+from shedsill.http3._configuration import AcceptedUpstream
+from shedsill.http3._effects import (
     Deliver,
     Effect,
     MoveReplyPath,
@@ -18,11 +19,10 @@
     ResetFlow,
     Send,
 )
-from shedsill._events import FrameReceived
-from shedsill._frames import Candidate, ToUpstream
-from shedsill._limits import take_token
-from shedsill._packets import Packet, PacketKind, read_packet
-from shedsill._placement import SLOW_START_FLOOR, choose_alternate, rank_upstreams
+from shedsill.http3._events import FrameReceived
+from shedsill.http3._frames import Candidate, ToUpstream
+from shedsill.http3._packets import Packet, PacketKind, read_packet
+from shedsill.http3._placement import SLOW_START_FLOOR, choose_alternate, rank_upstreams
 
 DECISION_LIFETIME = 10.0
 PASS_PATIENCE = 0.8
--- a/shedsill/_frames.py
+++ b/shedsill/http3/_frames.py
@@ -8,9 +8,9 @@
 from attrs import frozen
 
 from shedsill._addresses import Address
-from shedsill._keys import KeyRing, open_envelope, seal_envelope
 from shedsill.coordination.membership import NodeReport
 from shedsill.errors import DecodeError
+from shedsill.http3._keys import KeyRing, open_envelope, seal_envelope
 
 capnp.remove_import_hook()
 SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("frames.capnp")))
--- a/shedsill/_node.py
+++ b/shedsill/http3/_node.py
@@ -8,22 +8,6 @@
 
 from shedsill._addresses import Address
 from shedsill._catalogue import LogEvent
-from shedsill._configuration import (
-    Configuration,
-    decode_configuration,
-    is_newer,
-)
-from shedsill._effects import (
-    ApplyConfiguration,
-    CallPlatform,
-    Effect,
-    Note,
-    PullConfiguration,
-    Send,
-)
-from shedsill._events import PlatformAnswered
-from shedsill._frames import Frame, Heartbeat, Load, NodeReport
-from shedsill._purposes import Purpose
 from shedsill.coordination.membership import (
     SILENT_AFTER,
     Membership,
@@ -41,6 +25,22 @@
     note_generation,
 )
 from shedsill.errors import DecodeError
+from shedsill.http3._configuration import (
+    Configuration,
+    decode_configuration,
+    is_newer,
+)
+from shedsill.http3._effects import (
+    ApplyConfiguration,
+    CallPlatform,
+    Effect,
+    Note,
+    PullConfiguration,
+    Send,
+)
+from shedsill.http3._events import PlatformAnswered
+from shedsill.http3._frames import Frame, Heartbeat, Load, NodeReport
+from shedsill.http3._purposes import Purpose
 
 BEAT_INTERVAL = 1.0
 READ_INTERVAL = 1.0
--- a/shedsill/_outcomes.py
+++ b/shedsill/http3/_outcomes.py
@@ -11,7 +11,7 @@
 import immutables
 from attrs import evolve, field, frozen
 
-from shedsill._answers import RecordedAnswer
+from shedsill.http3._answers import RecordedAnswer
 
 MAX_RECORDS = 20_000
 MAX_RECORDED_BODY = 262_144
--- a/shedsill/_packets.py
+++ b/shedsill/http3/_packets.py
@@ -8,7 +8,7 @@
 from aioquic.quic.packet import QuicPacketType, pull_quic_header
 from attrs import frozen
 
-from shedsill._keys import CONNECTION_ID_LENGTH
+from shedsill.http3._keys import CONNECTION_ID_LENGTH
 
 MIN_INITIAL_SIZE = 1200
 
--- a/shedsill/_peers.py
+++ b/shedsill/http3/_peers.py
@@ -8,10 +8,11 @@
 import capnp
 from attrs import frozen
 
-from shedsill._answers import Header, RecordedAnswer
-from shedsill._frames import SCHEMA
-from shedsill._keys import KeyRing, open_envelope, seal_envelope
-from shedsill._outcomes import (
+from shedsill.errors import DecodeError
+from shedsill.http3._answers import Header, RecordedAnswer
+from shedsill.http3._frames import SCHEMA
+from shedsill.http3._keys import KeyRing, open_envelope, seal_envelope
+from shedsill.http3._outcomes import (
     Done,
     MayHaveRun,
     OutcomeKey,
@@ -19,7 +20,6 @@
     Refused,
     Transfer,
 )
-from shedsill.errors import DecodeError
 
 MAX_MESSAGE_WORDS = 1 << 24
 
--- a/shedsill/_placement.py
+++ b/shedsill/http3/_placement.py
@@ -13,8 +13,8 @@
 import xxhash
 from attrs import frozen
 
-from shedsill._configuration import AcceptedUpstream, UpstreamState
-from shedsill._frames import Candidate, Load
+from shedsill.http3._configuration import AcceptedUpstream, UpstreamState
+from shedsill.http3._frames import Candidate, Load
 
 SLOW_START_FLOOR = 0.1
 SATURATION = 2
--- a/shedsill/_reducer.py
+++ b/shedsill/http3/_reducer.py
@@ -10,11 +10,13 @@
 
 from attrs import evolve
 
-from shedsill import _agent, _balancer, _drain, _requests
-from shedsill._agent_state import AgentState
-from shedsill._balancer import BalancerState
-from shedsill._effects import Effect
-from shedsill._events import (
+from shedsill.coordination.spread import note_failure
+from shedsill.errors import InvariantError
+from shedsill.http3 import _agent, _balancer, _drain, _requests
+from shedsill.http3._agent_state import AgentState
+from shedsill.http3._balancer import BalancerState
+from shedsill.http3._effects import Effect
+from shedsill.http3._events import (
     CallerDatagram,
     ConfigurationOffered,
     Event,
@@ -36,11 +38,9 @@
     UpstreamFailed,
     UpstreamLoadRead,
 )
-from shedsill._node import decode_answer, read_first
-from shedsill._purposes import Purpose
-from shedsill._status import take_status_outcome
-from shedsill.coordination.spread import note_failure
-from shedsill.errors import InvariantError
+from shedsill.http3._node import decode_answer, read_first
+from shedsill.http3._purposes import Purpose
+from shedsill.http3._status import take_status_outcome
 
 State = TypeVar("State", AgentState, BalancerState)
 
--- a/shedsill/_requests.py
+++ b/shedsill/http3/_requests.py
@@ -6,7 +6,8 @@
 
 from attrs import evolve
 
-from shedsill._admission import (
+from shedsill._catalogue import LogEvent
+from shedsill.http3._admission import (
     Admit,
     Phase,
     Request,
@@ -21,9 +22,8 @@
     start_request,
     take_retry,
 )
-from shedsill._agent_state import AgentState
-from shedsill._catalogue import LogEvent
-from shedsill._effects import (
+from shedsill.http3._agent_state import AgentState
+from shedsill.http3._effects import (
     AbortUpstream,
     Answer,
     DeclineRequest,
@@ -32,7 +32,7 @@
     PassRequest,
     StartUpstream,
 )
-from shedsill._events import (
+from shedsill.http3._events import (
     PeerAnswered,
     PeerFailed,
     RequestArrived,
@@ -41,8 +41,8 @@
     UpstreamBegan,
     UpstreamFailed,
 )
-from shedsill._keys import Ticket
-from shedsill._outcomes import (
+from shedsill.http3._keys import Ticket
+from shedsill.http3._outcomes import (
     MAX_RECORDED_BODY,
     TICKET_LIFETIME,
     Done,
@@ -56,8 +56,8 @@
     has_origin,
     is_full,
 )
-from shedsill._resources import RequestClass, RequestKind, match_class
-from shedsill._settling import (
+from shedsill.http3._resources import RequestClass, RequestKind, match_class
+from shedsill.http3._settling import (
     STATUS_BAD_GATEWAY,
     STATUS_BAD_REQUEST,
     STATUS_CONFLICT,
--- a/shedsill/_routing.py
+++ b/shedsill/http3/_routing.py
@@ -10,14 +10,14 @@
 from attrs import evolve, field, frozen
 
 from shedsill._catalogue import LogEvent
-from shedsill._configuration import AcceptedUpstream, Configuration
-from shedsill._effects import Effect, Note, Send, SendToCaller
-from shedsill._events import CallerDatagram
-from shedsill._frames import Candidate, Load, ToCaller, ToUpstream
-from shedsill._keys import KeyRing
 from shedsill._limits import Bucket, Rate, take_token
-from shedsill._packets import MIN_INITIAL_SIZE, Packet, PacketKind, read_packet
-from shedsill._placement import can_take, rank_upstreams
+from shedsill.http3._configuration import AcceptedUpstream, Configuration
+from shedsill.http3._effects import Effect, Note, Send, SendToCaller
+from shedsill.http3._events import CallerDatagram
+from shedsill.http3._frames import Candidate, Load, ToCaller, ToUpstream
+from shedsill.http3._keys import KeyRing
+from shedsill.http3._packets import MIN_INITIAL_SIZE, Packet, PacketKind, read_packet
+from shedsill.http3._placement import can_take, rank_upstreams
 
 MAX_CALLER_BUCKETS = 10_000
 SILENCE_LIMIT = 0.4
--- a/shedsill/_runtime/agent.py
+++ b/shedsill/http3/_runtime/agent.py
@@ -12,11 +12,13 @@
 from prometheus_client import Gauge
 
 from shedsill._addresses import Address
-from shedsill._admission import Admission, AdmissionSettings
-from shedsill._agent_state import AgentSettings, AgentState, get_load
-from shedsill._answers import Header, RecordedAnswer, RequestOutcome
 from shedsill._catalogue import LogEvent
-from shedsill._effects import (
+from shedsill.coordination.platform import Platform
+from shedsill.errors import DecodeError
+from shedsill.http3._admission import Admission, AdmissionSettings
+from shedsill.http3._agent_state import AgentSettings, AgentState, get_load
+from shedsill.http3._answers import Header, RecordedAnswer, RequestOutcome
+from shedsill.http3._effects import (
     AbortUpstream,
     AnnounceDrain,
     Answer,
@@ -35,7 +37,7 @@
     ResetFlow,
     StartUpstream,
 )
-from shedsill._events import (
+from shedsill.http3._events import (
     FlowClosed,
     FlowOpened,
     HandoverDone,
@@ -49,34 +51,32 @@
     UpstreamFailed,
     UpstreamLoadRead,
 )
-from shedsill._frames import ToCaller, encode_frame
-from shedsill._keys import KeyRing, Route
-from shedsill._node import Node
-from shedsill._packets import read_packet
-from shedsill._peers import (
+from shedsill.http3._frames import ToCaller, encode_frame
+from shedsill.http3._keys import KeyRing, Route
+from shedsill.http3._node import Node
+from shedsill.http3._packets import read_packet
+from shedsill.http3._peers import (
     Handover,
     PeerRequest,
     decode_handover,
     decode_peer_request,
     encode_peer_answer,
 )
-from shedsill._placement import Policy
-from shedsill._runtime.certificates import CertificateLoader
-from shedsill._runtime.control import ControlServer
-from shedsill._runtime.driver import Driver
-from shedsill._runtime.exchange import Body, Exchange
-from shedsill._runtime.flows import KEEPALIVE_INTERVAL, FlowHooks, FlowTable
-from shedsill._runtime.notes import Notebook
-from shedsill._runtime.peers import (
+from shedsill.http3._placement import Policy
+from shedsill.http3._runtime.certificates import CertificateLoader
+from shedsill.http3._runtime.control import ControlServer
+from shedsill.http3._runtime.driver import Driver
+from shedsill.http3._runtime.exchange import Body, Exchange
+from shedsill.http3._runtime.flows import KEEPALIVE_INTERVAL, FlowHooks, FlowTable
+from shedsill.http3._runtime.notes import Notebook
+from shedsill.http3._runtime.peers import (
     HTTP_GONE,
     PEER_HANDOVER_PATH,
     PEER_REQUEST_PATH,
     PeerClient,
 )
-from shedsill._runtime.quic import Minter, make_quic_configuration
-from shedsill._runtime.upstream import Failed, Relayed, UpstreamClient, Whole
-from shedsill.coordination.platform import Platform
-from shedsill.errors import DecodeError
+from shedsill.http3._runtime.quic import Minter, make_quic_configuration
+from shedsill.http3._runtime.upstream import Failed, Relayed, UpstreamClient, Whole
 
 LOAD_INTERVAL = 0.2
 NONCE_LENGTH = 6
--- a/shedsill/_runtime/balancer.py
+++ b/shedsill/http3/_runtime/balancer.py
@@ -8,21 +8,21 @@
 from attrs import frozen
 from prometheus_client import Gauge
 
-from shedsill._acceptance import Acceptor
 from shedsill._addresses import Address, parse_address
-from shedsill._balancer import BalancerSettings, BalancerState
-from shedsill._configuration import Configuration
-from shedsill._effects import ApplyConfiguration, Effect, SendToCaller
-from shedsill._events import CallerDatagram
-from shedsill._keys import KeyRing
-from shedsill._node import Node
-from shedsill._routing import FlowLimits, Router
-from shedsill._runtime.control import ControlServer
-from shedsill._runtime.driver import Driver, enlarge_buffers
-from shedsill._runtime.notes import Notebook
 from shedsill.coordination.lease import Lease
 from shedsill.coordination.membership import list_live
 from shedsill.coordination.platform import Platform
+from shedsill.http3._acceptance import Acceptor
+from shedsill.http3._balancer import BalancerSettings, BalancerState
+from shedsill.http3._configuration import Configuration
+from shedsill.http3._effects import ApplyConfiguration, Effect, SendToCaller
+from shedsill.http3._events import CallerDatagram
+from shedsill.http3._keys import KeyRing
+from shedsill.http3._node import Node
+from shedsill.http3._routing import FlowLimits, Router
+from shedsill.http3._runtime.control import ControlServer
+from shedsill.http3._runtime.driver import Driver, enlarge_buffers
+from shedsill.http3._runtime.notes import Notebook
 
 LEASE_KIND = "lease"
 LEASE_NAME = "acceptor"
--- a/shedsill/_runtime/certificates.py
+++ b/shedsill/http3/_runtime/certificates.py
@@ -14,9 +14,9 @@
 from attrs import define, frozen
 
 from shedsill._catalogue import LogEvent
-from shedsill._effects import Note
 from shedsill.coordination.platform import Found, Get, Platform
 from shedsill.errors import SettingError
+from shedsill.http3._effects import Note
 
 CERTIFICATE_KIND = "certificate"
 PLATFORM_PREFIX = "platform:"
--- a/shedsill/_runtime/control.py
+++ b/shedsill/http3/_runtime/control.py
@@ -11,8 +11,8 @@
 from prometheus_client import CollectorRegistry, generate_latest
 
 from shedsill._addresses import Address
-from shedsill._configuration import Configuration, encode_configuration_text
-from shedsill._keys import KeyRing, seal_envelope
+from shedsill.http3._configuration import Configuration, encode_configuration_text
+from shedsill.http3._keys import KeyRing, seal_envelope
 
 MAX_PEER_MESSAGE = 64 * 1024 * 1024
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
--- a/shedsill/_runtime/driver.py
+++ b/shedsill/http3/_runtime/driver.py
@@ -15,8 +15,10 @@
 
 from shedsill._addresses import Address
 from shedsill._catalogue import LogEvent
-from shedsill._configuration import Configuration, decode_configuration_text
-from shedsill._effects import (
+from shedsill.coordination.platform import Platform
+from shedsill.errors import DecodeError, InvariantError
+from shedsill.http3._configuration import Configuration, decode_configuration_text
+from shedsill.http3._effects import (
     CallPlatform,
     Effect,
     Exit,
@@ -24,7 +26,7 @@
     PullConfiguration,
     Send,
 )
-from shedsill._events import (
+from shedsill.http3._events import (
     ConfigurationOffered,
     Event,
     FrameReceived,
@@ -33,12 +35,10 @@
     StopRequested,
     Tick,
 )
-from shedsill._frames import Heartbeat, decode_frame, encode_frame
-from shedsill._keys import KeyRing, open_envelope
-from shedsill._reducer import reduce
-from shedsill._runtime.notes import Notebook
-from shedsill.coordination.platform import Platform
-from shedsill.errors import DecodeError, InvariantError
+from shedsill.http3._frames import Heartbeat, decode_frame, encode_frame
+from shedsill.http3._keys import KeyRing, open_envelope
+from shedsill.http3._reducer import reduce
+from shedsill.http3._runtime.notes import Notebook
 
 TICK_INTERVAL = 0.05
 PEER_TIMEOUT = 2.0
--- a/shedsill/_runtime/exchange.py
+++ b/shedsill/http3/_runtime/exchange.py
@@ -9,7 +9,7 @@
 
 from attrs import define, field
 
-from shedsill._answers import Header
+from shedsill.http3._answers import Header
 
 MAX_HELD_BODY = 262_144
 HOP_BY_HOP = frozenset(
@@ -82,7 +82,7 @@
     Attributes
     ----------
     number : int
-        As in `shedsill._events.RequestArrived`.
+        As in `shedsill.http3._events.RequestArrived`.
     flow, stream : int
         Where it came from; -1 where another agent passed it on.
     announced : bool
--- a/shedsill/_runtime/flows.py
+++ b/shedsill/http3/_runtime/flows.py
@@ -24,12 +24,12 @@
 from attrs import define, field
 
 from shedsill._addresses import Address
-from shedsill._answers import Header
-from shedsill._effects import Deliver, RequireRetry
-from shedsill._keys import CONNECTION_ID_LENGTH
-from shedsill._packets import MIN_INITIAL_SIZE
-from shedsill._runtime.exchange import Body, Exchange, encode_text, read_headers
-from shedsill._runtime.quic import (
+from shedsill.http3._answers import Header
+from shedsill.http3._effects import Deliver, RequireRetry
+from shedsill.http3._keys import CONNECTION_ID_LENGTH
+from shedsill.http3._packets import MIN_INITIAL_SIZE
+from shedsill.http3._runtime.exchange import Body, Exchange, encode_text, read_headers
+from shedsill.http3._runtime.quic import (
     Minter,
     RoutedConnection,
     make_refusal,
--- a/shedsill/_runtime/notes.py
+++ b/shedsill/http3/_runtime/notes.py
@@ -16,7 +16,7 @@
 from prometheus_client import CollectorRegistry, Counter
 
 from shedsill._catalogue import Level, LogEvent
-from shedsill._effects import Note
+from shedsill.http3._effects import Note
 
 MAX_LINES_PER_SECOND = 50
 SAMPLED = (Level.TRACE, Level.DEBUG)
--- a/shedsill/_runtime/peers.py
+++ b/shedsill/http3/_runtime/peers.py
@@ -6,16 +6,16 @@
 from attrs import frozen
 
 from shedsill._addresses import Address
-from shedsill._answers import RecordedAnswer
-from shedsill._keys import KeyRing
-from shedsill._peers import (
+from shedsill.errors import DecodeError
+from shedsill.http3._answers import RecordedAnswer
+from shedsill.http3._keys import KeyRing
+from shedsill.http3._peers import (
     Handover,
     PeerRequest,
     decode_peer_answer,
     encode_handover,
     encode_peer_request,
 )
-from shedsill.errors import DecodeError
 
 PEER_REQUEST_PATH = "/peer/request"
 PEER_HANDOVER_PATH = "/peer/handover"
--- a/shedsill/_runtime/quic.py
+++ b/shedsill/http3/_runtime/quic.py
@@ -27,8 +27,8 @@
 from aioquic.quic.packet_builder import QuicPacketBuilder
 from attrs import frozen
 
-from shedsill._keys import CONNECTION_ID_LENGTH
-from shedsill._runtime.exchange import MAX_HELD_BODY
+from shedsill.http3._keys import CONNECTION_ID_LENGTH
+from shedsill.http3._runtime.exchange import MAX_HELD_BODY
 
 STREAM_WINDOW = 2 * MAX_HELD_BODY
 CONNECTION_WINDOW = 1_048_576
--- a/shedsill/_runtime/upstream.py
+++ b/shedsill/http3/_runtime/upstream.py
@@ -9,9 +9,9 @@
 from attrs import frozen
 from yarl import URL
 
-from shedsill._answers import Header, RecordedAnswer
-from shedsill._outcomes import MAX_RECORDED_BODY
-from shedsill._runtime.exchange import (
+from shedsill.http3._answers import Header, RecordedAnswer
+from shedsill.http3._outcomes import MAX_RECORDED_BODY
+from shedsill.http3._runtime.exchange import (
     HOP_BY_HOP,
     Exchange,
     read_octets,
--- a/shedsill/_settling.py
+++ b/shedsill/http3/_settling.py
@@ -11,20 +11,20 @@
 
 from attrs import evolve
 
-from shedsill._admission import (
+from shedsill._catalogue import LogEvent
+from shedsill.http3._admission import (
     Admission,
     Request,
     drop_request,
     get_retry_after,
 )
-from shedsill._agent_state import AgentState
-from shedsill._answers import RecordedAnswer, RequestOutcome
-from shedsill._catalogue import LogEvent
-from shedsill._effects import Answer, CutAnswer, Effect, Note, Refuse
-from shedsill._events import (
+from shedsill.http3._agent_state import AgentState
+from shedsill.http3._answers import RecordedAnswer, RequestOutcome
+from shedsill.http3._effects import Answer, CutAnswer, Effect, Note, Refuse
+from shedsill.http3._events import (
     RequestArrived,
 )
-from shedsill._outcomes import (
+from shedsill.http3._outcomes import (
     MAX_RECORDED_BODY,
     Done,
     MayHaveRun,
--- a/shedsill/_status.py
+++ b/shedsill/http3/_status.py
@@ -7,10 +7,10 @@
 
 from attrs import evolve, frozen
 
-from shedsill._effects import CallPlatform, Effect
-from shedsill._events import PlatformAnswered
-from shedsill._purposes import Purpose
 from shedsill.coordination.platform import Conflict, Put, Stored
+from shedsill.http3._effects import CallPlatform, Effect
+from shedsill.http3._events import PlatformAnswered
+from shedsill.http3._purposes import Purpose
 
 NODE_KIND = "node"
 STATUS_PAUSE = 1.0
--- a/shedsill/resources.py
+++ b/shedsill/resources.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from shedsill._resources import (
+from shedsill.http3._resources import (
     Action,
     Change,
     Document,
--- a/shedsill/testing/embedded.py
+++ b/shedsill/testing/embedded.py
@@ -9,19 +9,19 @@
 from attrs import define, field
 
 from shedsill._addresses import Address
-from shedsill._admission import AdmissionSettings
-from shedsill._agent_state import AgentSettings
-from shedsill._balancer import BalancerSettings
 from shedsill._cli.settings import draw_incarnation
-from shedsill._keys import KeyRing
-from shedsill._placement import TwoCandidates
-from shedsill._routing import FlowLimits
-from shedsill._runtime.agent import Agent, AgentOptions
-from shedsill._runtime.balancer import Balancer, BalancerOptions
-from shedsill._runtime.certificates import CertificateLoader
-from shedsill._runtime.notes import Notebook
-from shedsill._runtime.platform import HttpPlatform
-from shedsill._runtime.upstream import UpstreamClient
+from shedsill.http3._admission import AdmissionSettings
+from shedsill.http3._agent_state import AgentSettings
+from shedsill.http3._balancer import BalancerSettings
+from shedsill.http3._keys import KeyRing
+from shedsill.http3._placement import TwoCandidates
+from shedsill.http3._routing import FlowLimits
+from shedsill.http3._runtime.agent import Agent, AgentOptions
+from shedsill.http3._runtime.balancer import Balancer, BalancerOptions
+from shedsill.http3._runtime.certificates import CertificateLoader
+from shedsill.http3._runtime.notes import Notebook
+from shedsill.http3._runtime.platform import HttpPlatform
+from shedsill.http3._runtime.upstream import UpstreamClient
 from shedsill.testing.certificates import TestCertificate, make_certificate
 from shedsill.testing.documents import ServiceLayout, make_documents
 from shedsill.testing.fabric import Fabric
--- a/shedsill/testing/oracle.py
+++ b/shedsill/testing/oracle.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Iterable
 
-from shedsill._answers import RequestOutcome
-from shedsill._configuration import Configuration
+from shedsill.http3._answers import RequestOutcome
+from shedsill.http3._configuration import Configuration
 from shedsill.testing.parts import Attempt, FakeUpstream, OracleError, ProcessFake, Run
 
 
--- a/shedsill/testing/parts.py
+++ b/shedsill/testing/parts.py
@@ -6,15 +6,15 @@
 
 from attrs import define, field, frozen
 
-from shedsill import _events as events
 from shedsill._addresses import Address
-from shedsill._agent_state import AgentState
-from shedsill._answers import RequestOutcome
-from shedsill._balancer import BalancerState
-from shedsill._events import Event
-from shedsill._frames import Frame
-from shedsill._outcomes import Transfer
 from shedsill.coordination.platform import Call
+from shedsill.http3 import _events as events
+from shedsill.http3._agent_state import AgentState
+from shedsill.http3._answers import RequestOutcome
+from shedsill.http3._balancer import BalancerState
+from shedsill.http3._events import Event
+from shedsill.http3._frames import Frame
+from shedsill.http3._outcomes import Transfer
 
 
 class OracleError(AssertionError):
--- a/shedsill/testing/world.py
+++ b/shedsill/testing/world.py
@@ -15,34 +15,7 @@
 
 from attrs import define, evolve, field
 
-from shedsill import _effects as effects
-from shedsill import _events as events
-from shedsill._acceptance import Acceptor
 from shedsill._addresses import Address
-from shedsill._admission import Admission, AdmissionSettings
-from shedsill._agent_state import AgentSettings, AgentState, get_load
-from shedsill._answers import Header, RecordedAnswer, RequestOutcome
-from shedsill._balancer import BalancerState
-from shedsill._configuration import Configuration
-from shedsill._effects import Effect
-from shedsill._events import Event
-from shedsill._frames import ToCaller
-from shedsill._keys import CONNECTION_ID_LENGTH, KeyRing, Route
-from shedsill._node import Node
-from shedsill._packets import MIN_INITIAL_SIZE, read_packet
-from shedsill._peers import Handover as HandoverMessage
-from shedsill._peers import decode_handover, encode_handover
-from shedsill._reducer import reduce
-from shedsill._resources import (
-    RequestClass,
-    RequestKind,
-    Resource,
-    Service,
-    Upstream,
-    UpstreamSet,
-    encode_spec,
-    get_kind,
-)
 from shedsill.coordination.lease import Lease
 from shedsill.coordination.platform import (
     Changed,
@@ -54,6 +27,33 @@
     Unavailable,
     Watch,
 )
+from shedsill.http3 import _effects as effects
+from shedsill.http3 import _events as events
+from shedsill.http3._acceptance import Acceptor
+from shedsill.http3._admission import Admission, AdmissionSettings
+from shedsill.http3._agent_state import AgentSettings, AgentState, get_load
+from shedsill.http3._answers import Header, RecordedAnswer, RequestOutcome
+from shedsill.http3._balancer import BalancerState
+from shedsill.http3._configuration import Configuration
+from shedsill.http3._effects import Effect
+from shedsill.http3._events import Event
+from shedsill.http3._frames import ToCaller
+from shedsill.http3._keys import CONNECTION_ID_LENGTH, KeyRing, Route
+from shedsill.http3._node import Node
+from shedsill.http3._packets import MIN_INITIAL_SIZE, read_packet
+from shedsill.http3._peers import Handover as HandoverMessage
+from shedsill.http3._peers import decode_handover, encode_handover
+from shedsill.http3._reducer import reduce
+from shedsill.http3._resources import (
+    RequestClass,
+    RequestKind,
+    Resource,
+    Service,
+    Upstream,
+    UpstreamSet,
+    encode_spec,
+    get_kind,
+)
 from shedsill.testing.oracle import check_accepted, check_runs, check_slots
 from shedsill.testing.parts import (
     DATAGRAMS,
--- a/shedsill/tests/test_admission.py
+++ b/shedsill/tests/test_admission.py
@@ -6,7 +6,7 @@
 
 from attrs import evolve
 
-from shedsill._admission import (
+from shedsill.http3._admission import (
     Admission,
     AdmissionSettings,
     Admit,
@@ -25,7 +25,7 @@
     take_retry,
     try_again,
 )
-from shedsill._resources import RequestClass
+from shedsill.http3._resources import RequestClass
 
 CLAIM = RequestClass(name="claim", path="/claim", deadline=5.0)
 UPLOAD = RequestClass(name="upload", path="/upload", deadline=60.0)
--- a/shedsill/tests/test_faults.py
+++ b/shedsill/tests/test_faults.py
@@ -12,9 +12,9 @@
 import pytest
 from attrs import define
 
-from shedsill._answers import RequestOutcome
-from shedsill._configuration import UpstreamState
-from shedsill._resources import Action, Change, Upstream, UpstreamSet
+from shedsill.http3._answers import RequestOutcome
+from shedsill.http3._configuration import UpstreamState
+from shedsill.http3._resources import Action, Change, Upstream, UpstreamSet
 from shedsill.testing.parts import Attempt, CallerFlow, PlatformMessage
 from shedsill.testing.world import World
 
--- a/shedsill/tests/test_flows.py
+++ b/shedsill/tests/test_flows.py
@@ -7,12 +7,12 @@
 from attrs import evolve
 
 from shedsill._addresses import Address
-from shedsill._agent_state import AgentState, Leaving, Placed
-from shedsill._effects import Deliver, RefuseFlow, Send
-from shedsill._events import ConfigurationOffered, FrameReceived
-from shedsill._frames import ToUpstream
-from shedsill._node import Node
-from shedsill._reducer import reduce
+from shedsill.http3._agent_state import AgentState, Leaving, Placed
+from shedsill.http3._effects import Deliver, RefuseFlow, Send
+from shedsill.http3._events import ConfigurationOffered, FrameReceived
+from shedsill.http3._frames import ToUpstream
+from shedsill.http3._node import Node
+from shedsill.http3._reducer import reduce
 from shedsill.tests.test_routing import CONFIGURATION, KEYS, make_initial
 
 CID = b"12345678"
--- a/shedsill/tests/test_guards.py
+++ b/shedsill/tests/test_guards.py
@@ -13,7 +13,8 @@
 from attrs import evolve, frozen
 from msgspec.structs import replace
 
-from shedsill import (
+from shedsill.coordination.platform import MemoryPlatform, Put, Stored
+from shedsill.http3 import (
     _agent,
     _drain,
     _flows,
@@ -23,10 +24,9 @@
     _routing,
     _settling,
 )
-from shedsill._acceptance import Acceptor
-from shedsill._answers import RequestOutcome
-from shedsill._resources import Action
-from shedsill.coordination.platform import MemoryPlatform, Put, Stored
+from shedsill.http3._acceptance import Acceptor
+from shedsill.http3._answers import RequestOutcome
+from shedsill.http3._resources import Action
 from shedsill.tests.test_faults import (
     Scene,
     change,
--- a/shedsill/tests/test_outcomes.py
+++ b/shedsill/tests/test_outcomes.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from shedsill import _outcomes
-from shedsill._answers import RecordedAnswer
-from shedsill._keys import KeyRing
-from shedsill._outcomes import (
+from shedsill.http3 import _outcomes
+from shedsill.http3._answers import RecordedAnswer
+from shedsill.http3._keys import KeyRing
+from shedsill.http3._outcomes import (
     Done,
     Ledger,
     MayHaveRun,
@@ -21,7 +21,7 @@
     put_record,
     take_transfer,
 )
-from shedsill._peers import Handover, decode_handover, encode_handover
+from shedsill.http3._peers import Handover, decode_handover, encode_handover
 
 KEY = OutcomeKey(7, 1)
 KEYS = KeyRing((bytes(range(32)),))
--- a/shedsill/tests/test_placement.py
+++ b/shedsill/tests/test_placement.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from shedsill._frames import Candidate, Load
-from shedsill._placement import (
+from shedsill.http3._frames import Candidate, Load
+from shedsill.http3._placement import (
     HashOnly,
     Policy,
     TwoCandidates,
--- a/shedsill/tests/test_quic.py
+++ b/shedsill/tests/test_quic.py
@@ -12,11 +12,12 @@
 from aioquic.quic.packet import pull_quic_transport_parameters
 
 from shedsill._addresses import Address
-from shedsill._frames import ToUpstream, encode_frame
-from shedsill._keys import CONNECTION_ID_LENGTH, KeyRing, Route
-from shedsill._packets import PacketKind, read_packet
-from shedsill._runtime.certificates import CertificateLoader, parse_certificate
-from shedsill._runtime.quic import (
+from shedsill.coordination.platform import MemoryPlatform, Put
+from shedsill.http3._frames import ToUpstream, encode_frame
+from shedsill.http3._keys import CONNECTION_ID_LENGTH, KeyRing, Route
+from shedsill.http3._packets import PacketKind, read_packet
+from shedsill.http3._runtime.certificates import CertificateLoader, parse_certificate
+from shedsill.http3._runtime.quic import (
     MAX_UDP_PAYLOAD,
     STREAM_WINDOW,
     Minter,
@@ -25,7 +26,6 @@
     make_refusal,
     make_stateless_reset,
 )
-from shedsill.coordination.platform import MemoryPlatform, Put
 from shedsill.testing.certificates import make_certificate
 
 KEYS = KeyRing((bytes(range(32)),))
--- a/shedsill/tests/test_routing.py
+++ b/shedsill/tests/test_routing.py
@@ -6,17 +6,17 @@
 
 from attrs import evolve
 
-from shedsill._accepting import Inputs, accept
 from shedsill._addresses import Address
 from shedsill._catalogue import LogEvent
-from shedsill._configuration import Configuration
-from shedsill._effects import Effect, Note, Send
-from shedsill._events import CallerDatagram
-from shedsill._frames import Load, ToUpstream
-from shedsill._keys import KeyRing, Route
 from shedsill._limits import Rate
-from shedsill._resources import Action, Change, Service, Upstream, UpstreamSet
-from shedsill._routing import (
+from shedsill.http3._accepting import Inputs, accept
+from shedsill.http3._configuration import Configuration
+from shedsill.http3._effects import Effect, Note, Send
+from shedsill.http3._events import CallerDatagram
+from shedsill.http3._frames import Load, ToUpstream
+from shedsill.http3._keys import KeyRing, Route
+from shedsill.http3._resources import Action, Change, Service, Upstream, UpstreamSet
+from shedsill.http3._routing import (
     FlowLimits,
     Router,
     note_answer,
