--- a/shedsill/datagram/_runtime/node.py
+++ b/shedsill/datagram/_runtime/node.py
@@ -218,7 +218,10 @@
         sock.setblocking(False)
         for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
             sock.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER)
-        sock.bind(address.pair)
+        try:
+            sock.bind(address.pair)
+        except OSError as error:
+            raise _refuse_address(address, error) from error
         self._loop.add_reader(sock, self._drain, sock, take)
         self._sockets.append(sock)
         return sock
@@ -260,7 +263,11 @@
 
     async def serve(self, address: Address, handler: Handler) -> None:
         """Answer HTTP calls at an address."""
-        self._servers.append(await serve_http(address, handler))
+        try:
+            server = await serve_http(address, handler)
+        except OSError as error:
+            raise _refuse_address(address, error) from error
+        self._servers.append(server)
 
     def answer_status(self, method: str, path: str, body: bytes) -> Response:
         """Answer whether this node should be sent packets."""
@@ -372,6 +379,11 @@
         self._platform_failed = failure is not None
 
 
+def _refuse_address(address: Address, error: OSError) -> SettingError:
+    allowed = f"an address that is free on this VM ({error.strerror})"
+    return SettingError("listen address", str(address), allowed)
+
+
 def draw_incarnation() -> int:
     """Draw the number of this start of the process."""
     return int.from_bytes(os.getrandom(6), "big")
--- a/shedsill/platform/node.py
+++ b/shedsill/platform/node.py
@@ -63,8 +63,7 @@
         return EXIT_USAGE
     file = SettingsFile(roles[sys.argv[1]])
     try:
-        settings = file.read_all()
+        return asyncio.run(run_node(file, file.read_all()))
     except SettingError as error:
         print(f"shedsill: {error}", file=sys.stderr)
         return EXIT_USAGE
-    return asyncio.run(run_node(file, settings))
--- a/shedsill/testing/deployment.py
+++ b/shedsill/testing/deployment.py
@@ -30,6 +30,7 @@
     Caller,
     Upstream,
 )
+from shedsill.testing.links import Links, NodePorts
 from shedsill.testing.object_store import ObjectStoreStandIn
 from shedsill.testing.ports import find_ports
 
@@ -89,6 +90,12 @@
         Broken promises that a caller or an upstream has seen.
     calm_after : dict of str to float
         Until when each VM counts as disturbed.
+    links : Links or None
+        Proxies between the nodes and in front of the store, where asked for.
+    past : list of Upstream
+        Runs of upstreams that have ended.
+    program : tuple of str
+        Module that is run as a node, and arguments before the role.
     """
 
     folder: pathlib.Path
@@ -99,11 +106,15 @@
     callers: dict[bytes, Caller] = field(factory=dict)
     routers: dict[bytes, str] = field(factory=dict)
     errors: list[Exception] = field(factory=list)
+    links: Links | None = None
+    past: list[Upstream] = field(factory=list)
+    program: tuple[str, ...] = ("shedsill.platform",)
     version: int = 0
     calm_after: dict[str, float] = field(factory=dict)
     ports: dict[str, int] = field(factory=dict)
     _started: set[str] = field(factory=set)
     _boots: int = 0
+    _store_ports: dict[str, int] = field(factory=dict)
     _transports: list = field(factory=list)
     _senders: dict[str, socket.socket] = field(factory=dict)
     _tasks: set[asyncio.Task] = field(factory=set)
@@ -116,7 +127,7 @@
         self._runner = web.AppRunner(self.store.make_app(), shutdown_timeout=0.1)
         await self._runner.setup()
         await web.TCPSite(self._runner, STORE_HOST, self.ports["store"]).start()
-        await self._listen(CALLER_HOST, "packets", self._reach_caller)
+        await self._listen(CALLER_HOST, self.ports["packets"], self._reach_caller)
         self.write_table()
         return self
 
@@ -125,6 +136,8 @@
             task.cancel()
         for node in self.nodes.values():
             await self.kill(node.host)
+        if self.links is not None:
+            self.links.close()
         for transport in self._transports:
             transport.close()
         for sender in self._senders.values():
@@ -162,12 +175,12 @@
         return FIRST_PORT + self.services.index(service)
 
     async def _listen(
-        self, host: str, port: str, take: Callable[[bytes], None]
+        self, host: str, port: int, take: Callable[[bytes], None]
     ) -> asyncio.DatagramTransport:
         loop = asyncio.get_running_loop()
         transport, _protocol = await loop.create_datagram_endpoint(
             lambda: _Datagrams(lambda data: self._guard(take, data)),
-            local_addr=(host, self.ports[port]),
+            local_addr=(host, port),
         )
         self._transports.append(transport)
         return transport
@@ -202,6 +215,8 @@
 
     async def _start(self, node: NodeProcess) -> NodeProcess:
         self.nodes[node.host] = node
+        if self.links is not None:
+            await self._link(self.links, node.host)
         path = self.folder / f"{node.host}.json"
         path.write_text(json.dumps(self._make_settings(node)))
         self._started.add(node.host)
@@ -209,7 +224,7 @@
             node.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "shedsill.platform",
+                *self.program,
                 node.role,
                 env={**os.environ, "SHEDSILL_BOOT": str(path)},
                 stdout=log,
@@ -217,6 +232,25 @@
             )
         return node
 
+    def replace_service(self, host: str, service: str) -> None:
+        """Have a VM's next agent and upstream be of another service."""
+        self.nodes[host].service = service
+
+    async def _link(self, links: Links, host: str) -> None:
+        """Put proxies between a node, the others and the store."""
+        if host in links.ports:
+            return
+        ports = await links.join(host)
+        await self._listen(CALLER_HOST, ports.packets, self._reach_caller)
+        self._store_ports[host] = await links.open_stream(
+            (host, STORE_HOST), STORE_HOST, (STORE_HOST, self.ports["store"])
+        )
+
+    def _get_ports(self, host: str) -> NodePorts:
+        if self.links is not None:
+            return self.links.ports[host]
+        return NodePorts(self.ports["packets"], self.ports["messages"])
+
     def change_settings(self, host: str, **changes: object) -> None:
         """Write a node's settings file anew; it gets no signal."""
         settings = {**self._make_settings(self.nodes[host]), **changes}
@@ -226,24 +260,25 @@
         def address(name: str) -> str:
             return f"{node.host}:{self.ports[name]}"
 
-        messages = self.ports["messages"]
+        ports = self._get_ports(node.host)
+        store_port = self._store_ports.get(node.host, self.ports["store"])
         return {
             "node": node.host,
             "ip": node.host,
             "zone": "z1",
-            "port_range": [messages, messages],
+            "port_range": [ports.messages, ports.messages],
             "seeds": [],
             "bootstrap": node.host not in self._started,
             "app": address("app") if node.role == "agent" else "",
             "service": node.service,
             "listen": {
-                "packet_addr": address("packets"),
+                "packet_addr": f"{node.host}:{ports.packets}",
                 "ready": address("ready"),
                 "control": address("control"),
                 "outbound": address("outbound"),
             },
             "bounds": {"flow_ttl_s": 60, "grace_s": 6},
-            "platform": {"addr": f"{STORE_HOST}:{self.ports['store']}"},
+            "platform": {"addr": f"{STORE_HOST}:{store_port}"},
         }
 
     async def wait_ready(self, host: str) -> None:
@@ -297,7 +332,7 @@
         known = self.upstreams.get(host)
         if known is None:
             transport = await self._listen(
-                host, "app", lambda data: self.upstreams[host].receive(data)
+                host, self.ports["app"], lambda data: self.upstreams[host].receive(data)
             )
             server = await asyncio.start_server(
                 lambda _reader, writer: self._accept(host, writer),
@@ -310,9 +345,10 @@
             def send(data: bytes) -> None:
                 transport.sendto(data, outbound)
 
-            self._begin(self._beat(host, service))
+            self._begin(self._beat(host))
         else:
             send = known.send
+            self.past.append(known)
         self.upstreams[host] = Upstream(
             host=host,
             port=self._get_port(service),
@@ -332,8 +368,9 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _beat(self, host: str, service: str) -> None:
+    async def _beat(self, host: str) -> None:
         while True:
+            service = self.services[self.upstreams[host].port - FIRST_PORT]
             with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
                 await self.send_beat(host, service)
             await asyncio.sleep(BEAT)
@@ -364,8 +401,8 @@
 
     # Callers
 
-    def call(self, service: str, balancer: str) -> Caller:
-        """Have a new caller open a flow through a balancer and send a request."""
+    def call(self, service: str, balancer: str, *, requests: int = 1) -> Caller:
+        """Have a new caller open a flow through a balancer and send requests."""
         address = (
             struct.unpack(">I", socket.inet_aton(CALLER_HOST))[0],
             10_000 + len(self.callers),
@@ -376,6 +413,7 @@
             send=lambda data: self._send_in(caller, data),
             schedule=self._schedule,
             is_held=self._is_held,
+            requests=requests,
         )
         self.callers[caller.flow] = caller
         self.routers[caller.flow] = balancer
@@ -404,7 +442,8 @@
             sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
             sender.setblocking(False)
             self._senders[CALLER_HOST] = sender
-        target = (self.routers[caller.flow], self.ports["packets"])
+        balancer = self.routers[caller.flow]
+        target = (balancer, self._get_ports(balancer).packets)
         with contextlib.suppress(OSError):
             sender.sendto(data, target)
 
@@ -413,6 +452,16 @@
         assert packet is not None
         self.callers[packet.flow].receive(data)
 
+    def find_doubled(self) -> set[bytes]:
+        """Return the flows with a request that more than one run has worked on."""
+        seen: set[bytes] = set()
+        doubled: set[bytes] = set()
+        for upstream in (*self.past, *self.upstreams.values()):
+            flows = set(upstream.runs)
+            doubled |= flows & seen
+            seen |= flows
+        return doubled
+
     async def settle(self, callers: list[Caller], limit: float = 10.0) -> None:
         """Wait until each of some callers has an outcome."""
         async with asyncio.timeout(limit):
--- a/shedsill/testing/flow_peers.py
+++ b/shedsill/testing/flow_peers.py
@@ -15,7 +15,7 @@
 from attrs import define, field
 
 from shedsill.datagram._messages import UpstreamState
-from shedsill.datagram._packet import ACK, BOUNCED, RST, SYN, Packet
+from shedsill.datagram._packet import ACK, BOUNCED, RST, SEQUENCE_SPACE, SYN, Packet
 from shedsill.platform.packets import HeadCodec
 from shedsill.testing.parts import OracleError
 
@@ -25,6 +25,9 @@
 OPENING_LIMIT = 1.4
 RETRANSMIT = 0.2
 WORK = 0.05
+PAUSE = 0.3
+REQUEST = b"request"
+ANSWER = b"answer"
 SERVICE_HOST = 0xC6120001
 FIRST_PORT = 443
 
@@ -127,7 +130,7 @@
         if packet.flow not in self.flows:
             self.send(bytes([data[0] | BITS[BOUNCED]]) + data[1:])
         elif packet.length:
-            self.schedule(WORK, lambda: self._answer(packet.flow))
+            self.schedule(WORK, lambda: self._answer(packet.flow, packet.ack))
 
     def _take_opening(self, flow: bytes) -> None:
         _caller, service = read_ends(flow)
@@ -137,11 +140,10 @@
         self.offered[flow] = seq
         self._write(flow, BITS[SYN] | BITS[ACK], seq=seq)
 
-    def _answer(self, flow: bytes) -> None:
+    def _answer(self, flow: bytes, seq: int) -> None:
         if self.alive and flow in self.flows:
             self.runs.append(flow)
-            seq = self.flows[flow] + 1
-            self._write(flow, BITS[ACK], seq=seq, content=b"answer")
+            self._write(flow, BITS[ACK], seq=seq, content=ANSWER)
 
     def _write(self, flow: bytes, bits: int, **parts) -> None:
         caller, service = read_ends(flow)
@@ -150,10 +152,14 @@
 
 @define(eq=False)
 class Caller:
-    """A caller with one flow and one request on it.
+    """A caller with one flow and some requests on it, one after the other.
 
     Attributes
     ----------
+    requests : int
+        How many it sends.
+    answers : int
+        How many were answered.
     outcome : str
         Empty, ``answered``, ``reset`` or ``timeout``.
     is_held : callable
@@ -165,6 +171,8 @@
     send: Callable[[bytes], None]
     schedule: Schedule
     is_held: Callable[[bytes], bool]
+    requests: int = 1
+    answers: int = 0
     outcome: str = ""
     open: bool = False
     upstream_seq: int = 0
@@ -195,12 +203,23 @@
             self.outcome = "timeout"
 
     def send_request(self) -> None:
-        """Send (again) the request of an open flow, until it is answered."""
+        """Send (again) the next request of an open flow, until it is answered."""
         if self.outcome:
             return
-        ack = self.upstream_seq + 1
-        self.send(self._write(BITS[ACK], seq=1, ack=ack, content=b"request"))
-        self.schedule(RETRANSMIT, self.send_request)
+        seq = 1 + self.answers * len(REQUEST)
+        ack = self._expected
+        self.send(self._write(BITS[ACK], seq=seq, ack=ack, content=REQUEST))
+        answers = self.answers
+        self.schedule(RETRANSMIT, lambda: self._repeat_request(answers))
+
+    def _repeat_request(self, answers: int) -> None:
+        if self.answers == answers:
+            self.send_request()
+
+    @property
+    def _expected(self) -> int:
+        """Sequence number of the next answer."""
+        return (self.upstream_seq + 1 + self.answers * len(ANSWER)) % SEQUENCE_SPACE
 
     def receive(self, data: bytes) -> None:
         """Take a packet from the system."""
@@ -219,8 +238,15 @@
             self.open = True
             self.upstream_seq = packet.seq
             self.send_request()
-        elif packet.length:
+        elif packet.length and packet.seq == self._expected:
+            self._take_answer()
+
+    def _take_answer(self) -> None:
+        self.answers += 1
+        if self.answers >= self.requests:
             self.outcome = "answered"
+        else:
+            self.schedule(PAUSE, self.send_request)
 
     def _take_reset(self) -> None:
         if self.open and self.is_held(self.flow):
--- /dev/null
+++ b/shedsill/testing/links.py
@@ -0,0 +1,213 @@
+"""Loopback proxies between the processes of a deployment, with faults.
+
+A node sends every message to one port, whatever the receiver.  So each node gets
+port numbers of its own, and the proxy listens for it at every other node's IP
+number: what comes in at ``(receiver, port of the sender)`` is passed on to
+``(receiver, port of the receiver)`` from a socket at the sender's IP number, by
+which nodes know each other.  Nothing in the nodes is changed for it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import socket
+
+from attrs import define, field, frozen
+
+from shedsill.testing.ports import find_ports
+
+CHUNK = 65_536
+POLL = 0.05
+
+Link = tuple[str, str]
+"""Sender and receiver, by host."""
+
+
+@frozen
+class LinkFault:
+    """What is wrong with one direction of a link.
+
+    Attributes
+    ----------
+    delay, jitter : float
+        Seconds by which everything is late, and by how much more at random; with
+        jitter, datagrams overtake each other.
+    loss, copies : float
+        Shares of datagrams that are lost, and that come twice.
+    cut : bool
+        Whether nothing passes; bytes of connections wait until it does.
+    """
+
+    delay: float = 0.0
+    jitter: float = 0.0
+    loss: float = 0.0
+    copies: float = 0.0
+    cut: bool = False
+
+
+@frozen
+class NodePorts:
+    """The ports of one node that others reach through the proxy."""
+
+    packets: int
+    messages: int
+
+
+class _Listener(asyncio.DatagramProtocol):
+    """Takes what one node sends to another."""
+
+    def __init__(self, links: Links, link: Link, channel: str) -> None:
+        self._links = links
+        self._link = link
+        self._channel = channel
+
+    def datagram_received(self, data: bytes, addr: tuple) -> None:
+        self._links.carry(self._link, self._channel, data)
+
+
+@define(eq=False)
+class Links:
+    """All links of a deployment.
+
+    Attributes
+    ----------
+    faults : dict of Link to LinkFault
+        May be changed at any time.
+    ports : dict of str to NodePorts
+        By host.
+    """
+
+    generator: random.Random
+    faults: dict[Link, LinkFault] = field(factory=dict)
+    ports: dict[str, NodePorts] = field(factory=dict)
+    _senders: dict[str, socket.socket] = field(factory=dict)
+    _listeners: list = field(factory=list)
+    _writers: dict[asyncio.StreamWriter, Link] = field(factory=dict)
+
+    async def join(self, host: str) -> NodePorts:
+        """Connect a new node with all others; return its ports."""
+        if host in self.ports:
+            return self.ports[host]
+        ports = NodePorts(*find_ports(2))
+        sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sender.setblocking(False)
+        sender.bind((host, 0))
+        self._senders[host] = sender
+        for other, known in self.ports.items():
+            await self._listen(host, ports, other)
+            await self._listen(other, known, host)
+        self.ports[host] = ports
+        return ports
+
+    async def _listen(self, sender: str, ports: NodePorts, receiver: str) -> None:
+        """Listen at one node's IP number for what another sends there."""
+        loop = asyncio.get_running_loop()
+        link = (sender, receiver)
+        for channel in ("packets", "messages"):
+            transport, _protocol = await loop.create_datagram_endpoint(
+                lambda c=channel: _Listener(self, link, c),
+                local_addr=(receiver, getattr(ports, channel)),
+            )
+            self._listeners.append(transport)
+
+        async def relay(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            target = (receiver, self.ports[receiver].messages)
+            await self.relay(link, target, reader, writer)
+
+        server = await asyncio.start_server(relay, receiver, ports.messages)
+        self._listeners.append(server)
+
+    async def open_stream(self, link: Link, host: str, target: tuple) -> int:
+        """Open a proxy for connections to one target; return its port."""
+        (port,) = find_ports(1)
+
+        async def relay(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await self.relay(link, target, reader, writer)
+
+        self._listeners.append(await asyncio.start_server(relay, host, port))
+        return port
+
+    # Datagrams
+
+    def carry(self, link: Link, channel: str, data: bytes) -> None:
+        """Pass a datagram on, or do to it what the link's fault says."""
+        fault = self.faults.get(link)
+        if fault is None:
+            self._deliver(link, channel, data)
+            return
+        if fault.cut or self.generator.random() < fault.loss:
+            return
+        copies = 2 if self.generator.random() < fault.copies else 1
+        loop = asyncio.get_running_loop()
+        for _ in range(copies):
+            after = fault.delay + self.generator.uniform(0.0, fault.jitter)
+            loop.call_later(after, self._deliver, link, channel, data)
+
+    def _deliver(self, link: Link, channel: str, data: bytes) -> None:
+        sender, receiver = link
+        target = (receiver, getattr(self.ports[receiver], channel))
+        # A full buffer or a closed port loses a datagram, as a network does.
+        with contextlib.suppress(OSError):
+            self._senders[sender].sendto(data, target)
+
+    # Connections
+
+    async def relay(
+        self,
+        link: Link,
+        target: tuple,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Carry one connection in both directions."""
+        try:
+            far_reader, far_writer = await asyncio.open_connection(*target)
+        except OSError:
+            writer.transport.abort()
+            return
+        back = (link[1], link[0])
+        self._writers |= {writer: link, far_writer: link}
+        try:
+            await asyncio.gather(
+                self._pipe(link, reader, far_writer),
+                self._pipe(back, far_reader, writer),
+            )
+        except OSError:
+            # Reset by one end or by `reset`; both ends see it.
+            far_writer.transport.abort()
+            writer.transport.abort()
+        finally:
+            del self._writers[writer], self._writers[far_writer]
+
+    async def _pipe(
+        self, link: Link, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while data := await reader.read(CHUNK):
+            while (fault := self.faults.get(link)) and fault.cut:
+                await asyncio.sleep(POLL)
+            if fault is not None:
+                await asyncio.sleep(fault.delay)
+            writer.write(data)
+            await writer.drain()
+        writer.close()
+
+    def reset(self, host: str) -> None:
+        """Reset all connections of a node."""
+        for writer, link in list(self._writers.items()):
+            if host in link:
+                writer.transport.abort()
+
+    def close(self) -> None:
+        """Close everything."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+        for listener in self._listeners:
+            listener.close()
+        for sender in self._senders.values():
+            sender.close()
--- /dev/null
+++ b/shedsill/testing/weakened.py
@@ -0,0 +1,87 @@
+"""Nodes with one guard taken out, to show that the soak can fail.
+
+``python -m shedsill.testing.weakened GUARD balancer|agent`` runs a node as
+``python -m shedsill.platform`` does, without the guard.  Nothing else uses it.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import pathlib
+import sys
+from collections.abc import Callable
+
+from shedsill.datagram import _agent, _agent_packets, _agent_state, _balancer
+from shedsill.datagram._nodes import Nodes
+from shedsill.platform import packets
+from shedsill.platform.node import main
+
+
+def change_content() -> None:
+    """Write a wrong octet into each packet for an upstream."""
+    encode = packets.HeadCodec.encode_for_upstream
+
+    def encode_wrongly(self, packet, balancer: str) -> bytes:
+        data = encode(self, packet, balancer)
+        return data[:27] + bytes([data[27] ^ 1]) + data[28:]
+
+    packets.HeadCodec.encode_for_upstream = encode_wrongly
+
+
+def mix_services() -> None:
+    """Offer openings to upstreams of any service, and have agents take them."""
+
+    def offer_any(nodes, _service: str) -> list:
+        return list(nodes.upstreams.values())
+
+    Nodes.list_service = offer_any
+    _agent_packets.number_service = lambda _service: 0
+    packets.SERVICE = _ZeroService()
+
+
+class _ZeroService:
+    """Stands for the struct that packs a service's number."""
+
+    def pack(self, _number: int) -> bytes:
+        return bytes(4)
+
+    def unpack_from(self, _data: bytes, _offset: int) -> tuple[int]:
+        return (0,)
+
+
+def deny_flows() -> None:
+    """Have a restarted agent deny every flow of before."""
+    start = _agent.start
+
+    def start_complete(state: _agent_state.AgentState, now: float) -> None:
+        start(state, now)
+        state.complete = True
+
+    _agent.start = start_complete
+
+
+def ignore_tables() -> None:
+    """Have a restarted balancer put no configuration in force."""
+    settings = json.loads(pathlib.Path(os.environ["SHEDSILL_BOOT"]).read_text())
+    if not settings["bootstrap"]:
+        _balancer.take_table = lambda _state, _event: []
+
+
+def break_sweep() -> None:
+    """Have agents end when they first forget a flow."""
+    _agent.CLOSED_LINGER = None
+    _agent.HALF_OPEN_LIMIT = "soon"
+
+
+GUARDS: dict[str, Callable[[], None]] = {
+    "content": change_content,
+    "service": mix_services,
+    "living-flows": deny_flows,
+    "recovery": ignore_tables,
+    "processes": break_sweep,
+}
+
+if __name__ == "__main__":
+    GUARDS[sys.argv.pop(1)]()
+    sys.exit(main())
--- a/shedsill/tests/test_platform_processes.py
+++ b/shedsill/tests/test_platform_processes.py
@@ -76,11 +76,17 @@
         callers = [deployment.call("dispatcher", B1) for _ in range(4)]
         while not all(caller.open for caller in callers):
             await asyncio.sleep(0.001)
-        codes = await asyncio.gather(deployment.stop(B1), deployment.stop(A1))
+
+        async def restart_agent() -> int:
+            """Start the agent again once it has ended, as the platform does."""
+            code = await deployment.stop(A1)
+            await deployment.restart(A1)
+            return code
+
+        codes = await asyncio.gather(deployment.stop(B1), restart_agent())
         assert codes == [0, 0]
         for caller in callers:
             deployment.routers[caller.flow] = B2
-        await deployment.restart(A1)
         await deployment.settle(callers)
         assert {caller.outcome for caller in callers} == {"answered"}
 
@@ -125,3 +131,21 @@
         assert {caller.outcome for caller in callers} == {"answered"}
 
     play(tmp_path, scenario)
+
+
+def test_a_second_node_on_a_vm_says_which_address_is_taken(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Found by the soak: it ended with a traceback."""
+
+    async def scenario(deployment: Deployment) -> None:
+        first = deployment.nodes[B1]
+        second = await deployment.restart(B1)
+        assert second.process is not None
+        assert await second.process.wait() == 2
+        log = (tmp_path / f"{B1}.log").read_text()
+        assert f"setting listen address is '{B1}:" in log
+        assert "Traceback" not in log
+        deployment.nodes[B1] = first
+
+    play(tmp_path, scenario)
