--- a/shedsill/_catalogue.py
+++ b/shedsill/_catalogue.py
@@ -113,6 +113,7 @@
     REQUEST_PASSED_ON = Entry(611, Level.INFO, "held request given to the upstream")
     REQUEST_ANSWERED = Entry(612, Level.INFO, "upstream has begun to answer")
     FLOW_TAKEN = Entry(613, Level.INFO, "upstream has taken a new flow")
+    REQUEST_ABANDONED = Entry(615, Level.INFO, "caller of a held request is silent")
     FLOW_DENIED = Entry(614, Level.INFO, "agent does not hold a flow it was known for")
     UPSTREAM_CHANGED = Entry(620, Level.INFO, "upstream's state has changed")
     UPSTREAM_SILENT = Entry(621, Level.WARNING, "upstream does not answer")
--- a/shedsill/datagram/_agent_state.py
+++ b/shedsill/datagram/_agent_state.py
@@ -97,6 +97,8 @@
     earlier_boot : str
         The upstream's run as an earlier run of this agent knew it; empty where
         that is not known.
+    passed_fresh : int
+        Held requests passed on since the last overdue one.
     health : Health
         What the upstream's own answers say of it.
     cold_until : float
@@ -122,6 +124,7 @@
     busy: int = 0
     working: int = 0
     held: dict[bytes, HeldRequest] = field(default_factory=dict)
+    passed_fresh: int = 0
     average: float = 0.0
     average_at: float = 0.0
     earlier_boot: str = ""
--- a/shedsill/datagram/_slots.py
+++ b/shedsill/datagram/_slots.py
@@ -6,8 +6,10 @@
 back while the slots are taken, and gives the upstream the most urgent one when
 a slot is free: the higher priority first, and of one priority the one whose
 caller has waited the least, as far as the copies of its opening packet tell.
-None is held for longer than
-`HOLD_SHARE` of its timeout; after that the upstream's own queue has it.
+So fresh requests are served in time also while more come than can be served.
+One that was held for `HOLD_SHARE` of its timeout is overdue; every fourth free
+slot goes to the oldest of these, so that none waits for ever, and all of them
+follow once nothing fresh waits.
 
 Only the first content of a request is held.  The rest of a flow is never
 reordered, and nothing is held on routes with large bodies, which take a slot
@@ -36,15 +38,22 @@
 """Requests given to the upstream beyond its slots, so that a slot that becomes
 free does not wait for the agent."""
 
-HOLD_SHARE = 0.7
-"""Share of the route's timeout for which a request is held at most, so that what
-is late still has time to be served.  At 0.45, as played, the requests that had
-waited through a power loss all left at once while upstreams were still cold, and
-made 0.5 s of fresh ones late."""
+HOLD_SHARE = 0.45
+"""Share of the route's timeout after which a held request is overdue: half of the
+time is left to serve it."""
+
+OVERDUE_EVERY = 4
+"""Every so many free slots, one goes to an overdue request.  When all of them went
+at once, as played after power losses, they filled the upstreams' queues and made
+the fresh ones late, which became overdue in their turn."""
+
+CALLER_SILENCE = 3.5
+"""Seconds without a packet of its caller after which a held request is dropped:
+callers send again after 1.6 s at most, so two sendings are missing."""
 
 WAITING_LIMIT = 4.0
-"""Seconds after which an unanswered request no longer counts: its caller has
-given up or the upstream has dropped it."""
+"""Seconds after which a request that the upstream was given no longer counts: the
+upstream has dropped it."""
 
 
 class HeldRequest(Struct):
@@ -60,15 +69,15 @@
         When its caller first asked for it, as far as known.
     urgency : int
         Priority of its route; 0 is the highest.
-    until : float
-        When it goes to the upstream all the same.
+    overdue_at : float
+        From when it is overdue.
     """
 
     packets: list[Packet]
     since: float
     asked: float
     urgency: int
-    until: float
+    overdue_at: float
 
 
 def take_content(
@@ -91,7 +100,7 @@
                 since=now,
                 asked=asked,
                 urgency=packet.urgency,
-                until=now + packet.timeout * HOLD_SHARE,
+                overdue_at=now + packet.timeout * HOLD_SHARE,
             )
             return [_note_held(state, packet)]
         _begin_work(state, flow, now)
@@ -199,11 +208,23 @@
 def _pass_next(state: AgentState, now: float) -> list[Effect]:
     effects: list[Effect] = []
     while state.held and not _is_full(state):
-        key = min(state.held, key=lambda k: _rank(state.held[k]))
-        effects += _pass_on(state, key, now)
+        effects += _pass_on(state, _choose_next(state, now), now)
     return effects
 
 
+def _choose_next(state: AgentState, now: float) -> bytes:
+    """Return the flow whose held request gets the next free slot."""
+    held = state.held
+    overdue = [key for key in held if now >= held[key].overdue_at]
+    is_turn = state.passed_fresh >= OVERDUE_EVERY - 1
+    if overdue and (is_turn or len(overdue) == len(held)):
+        state.passed_fresh = 0
+        return min(overdue, key=lambda key: held[key].asked)
+    state.passed_fresh += 1
+    fresh = held.keys() - overdue if overdue else held
+    return min(fresh, key=lambda key: _rank(held[key]))
+
+
 def _rank(held: HeldRequest) -> tuple[int, float]:
     return held.urgency, -held.asked
 
@@ -238,13 +259,16 @@
 
 
 def take_tick(state: AgentState, now: float) -> list[Effect]:
-    """Pass on what has been held for long enough; forget what is never answered."""
+    """Drop requests that nobody waits for; forget those that are never answered."""
     effects: list[Effect] = []
     for key, held in list(state.held.items()):
-        if now >= held.until:
-            effects += _pass_on(state, key, now)
+        flow = state.flows.get(key)
+        if flow is None or now - flow.seen > CALLER_SILENCE:
+            fields = {"flow": key, "held_ms": round((now - held.since) * 1000)}
+            effects.append(Note(event=LogEvent.REQUEST_ABANDONED, fields=fields))
+            effects += drop_request(state, key, now)
     for key, flow in state.flows.items():
-        if flow.working and now - flow.waiting_since > WAITING_LIMIT:
+        if flow.working and now - flow.working_since > WAITING_LIMIT:
             effects += finish_request(state, key, flow, now, answered=False)
     return effects
 
