--- a/shedsill/datagram/_slots.py
+++ b/shedsill/datagram/_slots.py
@@ -34,10 +34,6 @@
 from shedsill.datagram._packet import SEQUENCE_SPACE, Packet, measure_advance
 from shedsill.datagram._selection import DEFAULT_SLOTS
 
-SPARE_REQUESTS = 1
-"""Requests given to the upstream beyond its slots, so that a slot that becomes
-free does not wait for the agent."""
-
 HOLD_SHARE = 0.45
 """Share of the route's timeout after which a held request is overdue: half of the
 time is left to serve it."""
@@ -130,7 +126,7 @@
 
 def _is_full(state: AgentState) -> bool:
     slots = state.report.load.slots or DEFAULT_SLOTS
-    return state.working >= slots + SPARE_REQUESTS
+    return state.working >= slots
 
 
 def _note_held(state: AgentState, packet: Packet) -> Note:
--- a/shedsill/tests/test_datagram_slots.py
+++ b/shedsill/tests/test_datagram_slots.py
@@ -23,7 +23,7 @@
 
 SERVICE = "dispatcher"
 SLOTS = 2
-FULL = SLOTS + _slots.SPARE_REQUESTS
+FULL = SLOTS
 BALANCER = "10.0.0.1"
 
 
@@ -142,7 +142,7 @@
     """Found on played days: a dozen requests filled each upstream's queue."""
     state.report = replace(state.report, load=Load(), boot="")
     sent = [bool(ask(state, b"%d" % n, 1.0)) for n in range(8)]
-    assert sum(sent) == DEFAULT_SLOTS + _slots.SPARE_REQUESTS
+    assert sum(sent) == DEFAULT_SLOTS
 
 
 def test_slots_are_known_from_the_report_of_an_earlier_run(state: AgentState) -> None:
@@ -150,7 +150,7 @@
     state.report = replace(state.report, load=Load(), boot="")
     take_earlier_report(state, EarlierReportRead(report=earlier, now=1.0))
     sent = [bool(ask(state, b"%d" % n, 1.0)) for n in range(8)]
-    assert sum(sent) == 5 + _slots.SPARE_REQUESTS
+    assert sum(sent) == 5
 
 
 @pytest.mark.parametrize(("boot", "complete"), [("i-1", False), ("i-2", True)])
