--- a/properties/soak.py
+++ b/properties/soak.py
@@ -58,6 +58,16 @@
 MAX_LOG_OCTETS = 4_000_000
 STORE_FAULTS = ("busy", "reset", "silent", "slow", "lost", "forgotten")
 
+REGRESSIONS = {
+    7: "soak: an agent of the old service restarted beside the new upstream",
+    11: "soak: two replacements of one upstream ended in the wrong order",
+    12: "soak: a stopped agent was started again only after seconds, and given up",
+    24: "as 12",
+    30: "as 12",
+    37: "as 12",
+}
+"""Seeds that have failed once, with the cause; all in the soak itself so far."""
+
 Fault = Callable[[str, float, random.Random], Awaitable[None]]
 """A host, seconds, and where it draws the rest from."""
 
@@ -165,9 +175,9 @@
         node.signal(signal.SIGCONT)
 
     async def _stop(self, host: str, span: float, draw: random.Random) -> None:
+        """Ask a node to stop; it starts again when it has ended."""
         node = self.deployment.nodes[host]
         node.signal(signal.SIGTERM)
-        await asyncio.sleep(span)
         if node.process is not None:
             await node.process.wait()
         await self._ensure(host)
@@ -203,20 +213,20 @@
     ) -> None:
         """Have an upstream of the other service take over an address."""
         host = draw.choice(list(self.agents))
-        service = next(s for s in SERVICES if s != self.agents[host])
         if list(self.agents.values()).count(self.agents[host]) == 1:
             return
-        self.agents[host] = service
-        await self._kill_with_upstream(host, span)
-        self.deployment.replace_service(host, service)
-        await self.deployment.start_upstream(host, service)
-        await self._ensure(host)
-
-    async def _kill_with_upstream(self, host: str, span: float) -> None:
         self.deployment.disturb(host, span)
-        self.deployment.upstreams[host].crash()
-        await self.deployment.kill(host)
+        async with self._get_lock(host):
+            # No other fault may start the old agent beside the new upstream.
+            self.deployment.upstreams[host].crash()
+            await self.deployment.kill(host)
+            service = next(s for s in SERVICES if s != self.agents[host])
+            self.agents[host] = service
+            self.deployment.replace_service(host, service)
         await asyncio.sleep(span)
+        if not self.deployment.upstreams[host].alive:
+            await self.deployment.start_upstream(host, self.agents[host])
+        await self._ensure(host)
 
     async def _cut_link(self, host: str, span: float, draw: random.Random) -> None:
         """Cut one direction between two nodes."""
@@ -277,9 +287,12 @@
     async def _change_table(self, host: str, span: float, draw: random.Random) -> None:
         self.deployment.write_table()
 
+    def _get_lock(self, host: str) -> asyncio.Lock:
+        return self._starting.setdefault(host, asyncio.Lock())
+
     async def _ensure(self, host: str) -> None:
         """Start a node that has ended; overlapping faults start it only once."""
-        async with self._starting.setdefault(host, asyncio.Lock()):
+        async with self._get_lock(host):
             if not self.deployment.nodes[host].running:
                 await self.deployment.restart(host)
 
@@ -378,10 +391,11 @@
 @click.option("--balancers", default=BALANCERS, show_default=True)
 @click.option("--agents", default=AGENTS, show_default=True)
 @click.option("--without", default="", type=click.Choice(["", *GUARDS]))
-def main(seeds: str, seconds: float, fresh: float, **size) -> None:
+@click.option("--regressions", is_flag=True, help="Only seeds that failed once.")
+def main(seeds: str, seconds: float, fresh: float, regressions: bool, **size) -> None:
     """Run the soak."""
     failed = []
-    for seed in draw_seeds(seeds, fresh):
+    for seed in REGRESSIONS if regressions else draw_seeds(seeds, fresh):
         if run_seed(seed, seconds, **size):
             failed.append(seed)
     click.echo(f"failed: {failed or 'none'}")
--- a/properties/test_soak.py
+++ b/properties/test_soak.py
@@ -6,18 +6,16 @@
 
 from properties.soak import run_seed
 
-SEED = 1
+MIXED_SEED = 1
+PLANNED_SEED = 3
 SECONDS = 4.0
 
-REGRESSIONS: tuple[int, ...] = ()
-"""Seeds that have failed once, each with a line on the cause."""
 
-
-@pytest.mark.parametrize("seed", [SEED, *REGRESSIONS])
+@pytest.mark.parametrize("seed", [MIXED_SEED, PLANNED_SEED])
 def test_a_short_soak_keeps_every_promise(seed: int) -> None:
     assert run_seed(seed, SECONDS) == []
 
 
 def test_the_soak_finds_changed_packets() -> None:
-    broken = run_seed(SEED, 1.0, without="content")
+    broken = run_seed(MIXED_SEED, 1.0, without="content")
     assert any("changed" in line for line in broken)
