--- a/shedsill/datagram/_locating.py
+++ b/shedsill/datagram/_locating.py
@@ -1,6 +1,7 @@
 """How a balancer finds the upstream of a flow that it does not know.
 
-It asks every agent, many flows in one message.  An agent that cannot tell is
+It asks the agents of its own availability zone, where most of its flows are, and
+then all others, many flows in one message.  An agent that cannot tell is
 given one packet: its upstream takes it or bounces it.  Once every agent has
 denied the flow, no upstream holds it, and its caller is told so.
 """
@@ -33,11 +34,8 @@
     if search is None:
         if len(state.searches) >= _searches.MAX_SEARCHES:
             return [Note(event=LogEvent.SEARCH_DROPPED, fields={"flow": packet.flow})]
-        hosts = _list_answering(state)
-        search = _searches.begin_search(packet.ack, hosts, now)
+        search = _begin(state, packet.flow, packet.ack, now)
         search.packets.append(packet)
-        state.searches[packet.flow] = search
-        _ask(state, packet.flow, hosts)
         return []
     _searches.hold_packet(search, packet, now)
     if _searches.is_due(search, now):
@@ -49,6 +47,21 @@
     return [host for host, view in state.nodes.upstreams.items() if not view.lost]
 
 
+def _begin(
+    state: BalancerState, flow: bytes, caller_ack: int, now: float, without: str = ""
+) -> Search:
+    """Begin to look for a flow, near agents first; octets between zones are dear."""
+    views = state.nodes.upstreams
+    hosts = [host for host in _list_answering(state) if host != without]
+    near = [h for h in hosts if views[h].report.zone == state.report.zone]
+    first = near or hosts
+    later = set(hosts).difference(first)
+    search = _searches.begin_search(caller_ack, first, later, now)
+    state.searches[flow] = search
+    _ask(state, flow, first)
+    return search
+
+
 def _ask(state: BalancerState, flow: bytes, hosts: Iterable[str]) -> None:
     for host in hosts:
         state.to_locate.setdefault(host, []).append(flow)
@@ -62,6 +75,8 @@
         return _try_packet(state, search)
     if not search.waiting and not search.unsure:
         search.waiting = set(_list_answering(state))
+    search.waiting |= search.later
+    search.later = set()
     _ask(state, flow, search.waiting)
     return conclude(state, flow, search)
 
@@ -114,6 +129,10 @@
     """Act on a search whose open questions are answered."""
     if search.waiting:
         return []
+    if search.later:
+        search.waiting, search.later = search.later, set()
+        _ask(state, flow, search.waiting)
+        return []
     if search.unsure:
         return _try_next(state, flow, search)
     if not _knows_all(state, search.seen):
@@ -186,6 +205,7 @@
         return []
     search.waiting.discard(source)
     search.unsure.discard(source)
+    search.later.discard(source)
     return conclude(state, flow, search)
 
 
@@ -195,10 +215,7 @@
     """Look for a flow that the agent named here does not hold any more."""
     if flow in state.resets or len(state.searches) >= _searches.MAX_SEARCHES:
         return []
-    hosts = [host for host in _list_answering(state) if host != source]
-    search = _searches.begin_search(caller_ack, hosts, now)
-    state.searches[flow] = search
-    _ask(state, flow, hosts)
+    search = _begin(state, flow, caller_ack, now, without=source)
     return conclude(state, flow, search)
 
 
@@ -240,5 +257,6 @@
     for key, search in list(state.searches.items()):
         search.waiting.discard(host)
         search.unsure.discard(host)
+        search.later.discard(host)
         effects += conclude(state, key, search)
     return effects
--- a/shedsill/datagram/_nodes.py
+++ b/shedsill/datagram/_nodes.py
@@ -80,77 +80,105 @@
         return [v for v in self.upstreams.values() if v.report.service == service]
 
 
-def is_news(nodes: Nodes, report: NodeReport, known: NodeReport) -> bool:
-    """Whether a report replaces the one known.
-
-    Within an incarnation the serial decides.  Incarnations are not ordered, but
-    one that was replaced never comes back.
-
-    Examples
-    --------
-    >>> one = NodeReport(host="a", role=Role.AGENT, zone="z", incarnation=1, serial=4)
-    >>> is_news(Nodes(), replace(one, serial=5), one)
-    True
-    >>> restarted = replace(one, incarnation=2, serial=0)
-    >>> is_news(Nodes(), restarted, one)
-    True
-    >>> is_news(Nodes(retired={1: 0.0}), one, restarted)
-    False
-    """
-    if report.incarnation != known.incarnation:
-        return report.incarnation not in nodes.retired
-    return report.serial > known.serial
-
-
 def merge_report(
     nodes: Nodes, report: NodeReport, now: float, *, direct: bool
 ) -> NodeReport | None:
     """Take in one report; return the one that it replaced, if any.
 
+    Within an incarnation the serial decides which report is later.  Incarnations
+    are not ordered: what a node says itself is true at that moment, and what the
+    store or others say of it may be old.  An agent that is answering is asked
+    itself when others tell of another incarnation.
+
     Parameters
     ----------
     direct : bool
         Whether it came from the node itself rather than through the store.
+
+    Examples
+    --------
+    >>> nodes = Nodes()
+    >>> run = NodeReport(host="a", role=Role.AGENT, zone="z", incarnation=2)
+    >>> merge_report(nodes, run, 1.0, direct=True)
+    >>> old = replace(run, incarnation=1)
+    >>> merge_report(nodes, old, 1.1, direct=False).incarnation
+    2
+    >>> nodes.upstreams["a"].report.incarnation
+    2
+    >>> is_due(nodes.upstreams["a"], 1.1, wanted=False)
+    True
     """
     if report.role == Role.BALANCER:
-        known = nodes.balancers.get(report.host)
-        if known is None or is_news(nodes, report, known):
-            nodes.balancers[report.host] = report
-        return known
+        return _merge_balancer(nodes, report)
     view = nodes.upstreams.get(report.host)
     if view is None:
-        nodes.upstreams[report.host] = UpstreamView(report=report)
+        view = UpstreamView(report=report)
+        nodes.upstreams[report.host] = view
         if direct:
-            note_heard(nodes.upstreams[report.host], now)
+            _confirm(view, report, now)
         return None
     before = view.report
-    if is_news(nodes, report, before):
-        if report.incarnation != before.incarnation:
-            nodes.retired[before.incarnation] = now
-            begin_anew(view, now)
-        if not direct:
-            report = replace(report, load=before.load)
-        view.report = report
+    if report.incarnation == before.incarnation:
+        if report.serial > before.serial:
+            view.report = replace(report, load=before.load)
+    elif direct:
+        nodes.retired.pop(report.incarnation, None)
+        _begin_incarnation(nodes, view, report, now)
+    elif report.incarnation not in nodes.retired:
+        if is_confirmed(view):
+            view.rumoured = report.incarnation
+            ask_soon(view, now)
+        else:
+            _begin_incarnation(nodes, view, report, now)
     if direct:
-        note_heard(view, now)
-        view.avoided_until = now + report.load.avoided
-        view.report = replace(view.report, load=report.load)
+        _confirm(view, report, now)
     return before
 
 
-def note_heard(view: UpstreamView, now: float) -> None:
-    """Note that an agent has said something."""
-    view.heard = now
-    view.silent_since = None
+def _merge_balancer(nodes: Nodes, report: NodeReport) -> NodeReport | None:
+    known = nodes.balancers.get(report.host)
+    is_same = known is not None and known.incarnation == report.incarnation
+    if known is None or not is_same or report.serial > known.serial:
+        nodes.balancers[report.host] = report
+    return known
+
+
+def is_confirmed(view: UpstreamView) -> bool:
+    """Whether an agent has told its incarnation itself and is not silent."""
+    return view.confirmed == view.report.incarnation and view.silent_since is None
+
+
+def _confirm(view: UpstreamView, report: NodeReport, now: float) -> None:
+    """Note what an agent says of itself."""
+    note_heard(view, now)
+    view.confirmed = report.incarnation
+    view.avoided_until = now + report.load.avoided
+    view.report = replace(view.report, load=report.load)
+
+
+def _begin_incarnation(
+    nodes: Nodes, view: UpstreamView, report: NodeReport, now: float
+) -> None:
+    """Replace an agent's incarnation; forget the silence of the last one."""
+    nodes.retired[view.report.incarnation] = now
+    view.report = replace(report, load=view.report.load)
+    ask_soon(view, now)
     view.questions = 0
     view.suspect = False
     view.lost = False
 
 
-def begin_anew(view: UpstreamView, now: float) -> None:
-    """Forget the silence of an agent's last incarnation; ask the new one."""
-    view.silent_since = now
+def ask_soon(view: UpstreamView, now: float) -> None:
+    """Have an agent asked at the next tick."""
+    if view.silent_since is None or view.lost:
+        view.silent_since = now
     view.asked = now - ASK_INTERVAL
+
+
+def note_heard(view: UpstreamView, now: float) -> None:
+    """Note that an agent has said something."""
+    view.heard = now
+    view.silent_since = None
     view.questions = 0
     view.suspect = False
     view.lost = False
@@ -194,8 +222,7 @@
     """Note that an agent has left something unanswered; ask it next."""
     view.suspect = True
     if view.silent_since is None:
-        view.silent_since = now
-        view.asked = now - ASK_INTERVAL
+        ask_soon(view, now)
 
 
 def is_lost(view: UpstreamView, now: float) -> bool:
--- a/shedsill/datagram/_roster.py
+++ b/shedsill/datagram/_roster.py
@@ -38,7 +38,10 @@
     effects = _note_report(state, report, before, now)
     if report.role == Role.BALANCER:
         _note_version(state, report, now)
-    elif before is None or before.incarnation != report.incarnation:
+    elif before is None or report.incarnation not in (
+        before.incarnation,
+        state.nodes.upstreams[report.host].rumoured,
+    ):
         effects += _relay(state, report)
     return effects
 
@@ -46,7 +49,8 @@
 def _relay(state: BalancerState, report: NodeReport) -> list[Effect]:
     """Tell the other balancers of an agent that has just started.
 
-    A new agent knows only the balancers among its seeds.
+    A new agent knows only the balancers among its seeds.  Those that have heard of
+    it from others do not relay it again.
     """
     roster = Roster(reports=[report], last=False)
     return [SendMessage(host, roster) for host in state.nodes.balancers]
--- a/shedsill/datagram/_searches.py
+++ b/shedsill/datagram/_searches.py
@@ -39,7 +39,9 @@
     packets : list of Packet
         Held until the upstream is known.
     waiting : set of str
-        Hosts of the agents that have not answered.
+        Hosts of the agents that were asked and have not answered.
+    later : set of str
+        Hosts of agents that are asked once the others have denied the flow.
     unsure : set of str
         Hosts of agents that could not tell and have not been tried yet.
     tried : int
@@ -61,13 +63,17 @@
     phase: Phase = Phase.ASKING
     unsure: set[str] = field(default_factory=set)
     tried: int = 0
+    later: set[str] = field(default_factory=set)
 
 
-def begin_search(caller_ack: int, hosts: Iterable[str], now: float) -> Search:
+def begin_search(
+    caller_ack: int, hosts: Iterable[str], later: Iterable[str], now: float
+) -> Search:
     """Return a search that starts now, without packets so far."""
     return Search(
         packets=[],
         waiting=set(hosts),
+        later=set(later),
         asked=now,
         seen=now,
         begun=now,
--- a/shedsill/datagram/_selection.py
+++ b/shedsill/datagram/_selection.py
@@ -76,6 +76,10 @@
         Whether it has been silent for so long that its flows were given up.
     lost_at : float
         When that was.
+    confirmed : int
+        The incarnation that the agent itself told last; 0 where it has not.
+    rumoured : int
+        Another incarnation that others have told of since.
     """
 
     report: NodeReport
@@ -89,6 +93,8 @@
     suspect: bool = False
     lost: bool = False
     lost_at: float = 0.0
+    confirmed: int = 0
+    rumoured: int = 0
 
 
 def number_service(service: str) -> int:
--- a/shedsill/testing/datagrams.py
+++ b/shedsill/testing/datagrams.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import collections
 import heapq
 import itertools
 import struct
@@ -87,6 +88,7 @@
     cut: set[str] = field(factory=set)
     table: ForwardingTable = field(factory=ForwardingTable)
     notes: list[tuple[str, Note]] = field(factory=list)
+    messages: collections.Counter = field(factory=collections.Counter)
     _queue: list = field(factory=list)
     _numbers: itertools.count = field(factory=itertools.count)
 
@@ -98,6 +100,10 @@
         """The callers whose flow was reset."""
         return [c for c in self.callers.values() if c.outcome == "reset"]
 
+    def count_messages(self, kind: type) -> int:
+        """Return how many messages of a class nodes have sent."""
+        return self.messages[kind]
+
     # Building
 
     def make_table(self, version: int, without: str = "") -> ForwardingTable:
@@ -324,6 +330,7 @@
                 self._deliver(host, agent, lambda: self._forwarded(data, host))
             case SendMessage(host=other, message=message):
                 octets = encode_message(message)
+                self.messages[type(message)] += 1
                 self._deliver(host, other, lambda: self._message(octets, host))
             case SendToUpstream(packet=packet, balancer=balancer):
                 data = CODEC.encode_for_upstream(packet, balancer)
--- a/shedsill/tests/test_datagram_flows.py
+++ b/shedsill/tests/test_datagram_flows.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import pytest
+from msgspec.structs import replace
 
 from shedsill._catalogue import LogEvent
-from shedsill.datagram._messages import UpstreamState
+from shedsill.datagram._events import ReportsListed
+from shedsill.datagram._messages import Locate, Roster, UpstreamState
 from shedsill.datagram._nodes import LOST_AFTER, RETIRED_MEMORY, STOPPING_LOST_AFTER
 from shedsill.datagram._roster import PULL_AFTER
+from shedsill.datagram._searches import SEARCH_TIMEOUT
 from shedsill.testing.datagrams import World
 from shedsill.testing.flow_peers import Caller
 
@@ -440,3 +443,60 @@
     world.run(RETIRED_MEMORY + 10.0)
     assert not world.nodes[B1].nodes.retired
     assert not world.nodes[A1].balancers
+
+
+@pytest.fixture
+def zones() -> World:
+    """A balancer and an agent in each of two availability zones."""
+    world = World(services=("dispatcher",))
+    for zone, agent, balancer in (("z1", A1, B1), ("z2", A2, B2)):
+        world.add_agent(agent, "dispatcher", zone=zone, first=True)
+        world.add_balancer(balancer, zone=zone)
+    world.run(0.2)
+    return world
+
+
+def test_near_agents_are_asked_for_a_flow_first(zones: World) -> None:
+    caller = open_flow(zones)
+    assert zones.find_holder(caller) == A1
+    del zones.nodes[B1].flows[caller.flow]
+    before = zones.count_messages(Locate)
+    caller.send_request()
+    zones.run(0.01)
+    assert count(zones, LogEvent.FLOW_FOUND) == 1
+    assert zones.count_messages(Locate) - before == 1
+
+
+def test_a_flow_far_away_is_found_past_a_silent_near_agent(zones: World) -> None:
+    caller = open_flow(zones)
+    zones.routers[caller.flow] = B2
+    zones.nodes.pop(A2)
+    caller.send_request()
+    zones.run(SEARCH_TIMEOUT + 0.06)
+    assert count(zones, LogEvent.FLOW_FOUND) == 1
+
+
+def test_a_living_agent_is_not_replaced_by_an_old_report(world: World) -> None:
+    """Found on played days: after a restart of all, balancers read the reports of
+    before from the store, kept to them, and told each other of agents for ever."""
+    balancer = world.nodes[B1]
+    view = balancer.nodes.upstreams[A1]
+    old = replace(view.report, incarnation=9_999, boot="i-old")
+    listed = ReportsListed(reports=(old,), whole=True, now=world.now)
+    world._dispatch(B1, listed)
+    before = world.count_messages(Roster)
+    world.run(5.0)
+    assert view.report.incarnation == world.nodes[A1].report.incarnation
+    assert view.report.boot == world.upstreams[A1].boot
+    assert world.count_messages(Roster) == before
+
+
+def test_a_restarted_agent_that_others_tell_of_is_asked(world: World) -> None:
+    world.kill(A1)
+    state = world.add_agent(A1, "dispatcher")
+    fresh = replace(state.report, serial=1)
+    world._dispatch(B1, ReportsListed(reports=(fresh,), whole=True, now=world.now))
+    world.run(0.2)
+    view = world.nodes[B1].nodes.upstreams[A1]
+    assert view.report.incarnation == state.report.incarnation
+    assert view.confirmed == state.report.incarnation
