--- a/shedsill/platform/store.py
+++ b/shedsill/platform/store.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
+from msgspec import Struct
 
 from shedsill._addresses import Address
 from shedsill.coordination.platform import (
@@ -40,6 +41,8 @@
 WATCH_MARGIN = 1.5
 """Seconds beyond its patience in which a watch has to answer."""
 
+T = TypeVar("T")
+
 ROOT = "/-/objects"
 OK = (200, 201)
 NOT_FOUND = 404
@@ -51,6 +54,56 @@
     """The store answered something that the call does not expect."""
 
 
+class _Meta(Struct, frozen=True, kw_only=True):
+    """What the store itself keeps of an object.
+
+    Attributes
+    ----------
+    rev : int
+        The store's revision at the object's last change.
+    """
+
+    name: str
+    rev: int
+
+
+class _Object(Struct, frozen=True, kw_only=True):
+    """One object; `spec` is the product's value."""
+
+    meta: _Meta
+    spec: Any = None
+
+
+class _Page(Struct, frozen=True, kw_only=True):
+    """A part of a list.
+
+    Attributes
+    ----------
+    current_rev : int
+        The store's revision, from which a watch goes on.
+    truncated : bool
+        Whether more objects follow the last one by name.
+    """
+
+    items: list[_Object]
+    current_rev: int
+    truncated: bool = False
+
+
+class _Event(Struct, frozen=True, kw_only=True):
+    """A change of one object; `deleted` if it is gone."""
+
+    object: _Object
+    deleted: bool = False
+
+
+class _Events(Struct, frozen=True, kw_only=True):
+    """Answer to a watch; the next one goes on from `current_rev`."""
+
+    events: list[_Event]
+    current_rev: int
+
+
 class ObjectStore:
     """Implements `shedsill.coordination.platform.Platform`."""
 
@@ -67,7 +120,7 @@
         except (TimeoutError, OSError) as error:
             reason = f"{type(error).__name__} {error}"
             return Unavailable(reason=reason, perhaps_applied=writes)
-        except (UnusableAnswerError, msgspec.DecodeError, LookupError) as error:
+        except (UnusableAnswerError, msgspec.DecodeError) as error:
             return Unavailable(reason=str(error), perhaps_applied=writes)
 
     async def _send(self, call: Call) -> Outcome:
@@ -91,18 +144,18 @@
         response = await self._request("GET", f"{ROOT}/{kind}/{name}")
         if response.status == NOT_FOUND:
             return Found(object=None)
-        return Found(object=_read_object(kind, _read_body(response)))
+        return Found(object=_make_object(kind, _read_body(response, _Object)))
 
     async def _list(self, kind: str) -> Outcome:
         objects: list[StoredObject] = []
         target = f"{ROOT}/{kind}"
         while True:
-            body = _read_body(await self._request("GET", target))
-            objects += [_read_object(kind, item) for item in body["items"]]
-            if not body.get("truncated"):
+            page = _read_body(await self._request("GET", target), _Page)
+            objects += [_make_object(kind, item) for item in page.items]
+            if not (page.truncated and page.items):
                 break
             target = f"{ROOT}/{kind}?after={objects[-1].name}"
-        return Listing(objects=tuple(objects), revision=body["current_rev"])
+        return Listing(objects=tuple(objects), revision=page.current_rev)
 
     async def _watch(self, kind: str, call: Watch) -> Outcome:
         wait = int(call.patience * 1000)
@@ -111,14 +164,14 @@
         response = await self._request("GET", target, timeout=timeout)
         if response.status == GONE:
             return HistoryGone()
-        body = _read_body(response)
-        latest = {e["object"]["meta"]["name"]: e for e in body["events"]}
-        alive = [e["object"] for e in latest.values() if not e.get("deleted")]
-        deleted = [name for name, e in latest.items() if e.get("deleted")]
+        body = _read_body(response, _Events)
+        latest = {event.object.meta.name: event for event in body.events}
+        alive = [e.object for e in latest.values() if not e.deleted]
+        deleted = [name for name, event in latest.items() if event.deleted]
         return Changed(
             names=tuple(f"{kind}/{name}" for name in latest),
-            revision=body["current_rev"],
-            objects=tuple(_read_object(kind, item) for item in alive),
+            revision=body.current_rev,
+            objects=tuple(_make_object(kind, item) for item in alive),
             deleted=tuple(deleted),
         )
 
@@ -135,7 +188,11 @@
 
     async def _delete(self, call: Delete) -> Outcome:
         target = f"{ROOT}/{call.kind}/{call.name}?rev={call.expected}"
-        return _read_write(call.kind, await self._request("DELETE", target))
+        response = await self._request("DELETE", target)
+        if response.status in OK:
+            # The object is gone, whatever the answer says of it.
+            return Stored(version=0)
+        return _read_write(call.kind, response)
 
     async def _request(
         self,
@@ -148,25 +205,22 @@
         return await self._client.request(method, target, body, timeout=timeout)
 
 
-def _read_body(response: Response) -> Any:
+def _read_body(response: Response, form: type[T]) -> T:
     if response.status not in OK:
         raise UnusableAnswerError(f"status {response.status}")
-    return msgspec.json.decode(response.body)
+    return msgspec.json.decode(response.body, type=form)
 
 
 def _read_write(kind: str, response: Response) -> Outcome:
     if response.status == NOT_FOUND:
         return Conflict(current=None)
     if response.status == CONFLICT:
-        current = msgspec.json.decode(response.body)
-        return Conflict(current=_read_object(kind, current))
-    body = _read_body(response)
-    version = body["meta"]["rev"] if isinstance(body, dict) and "meta" in body else 0
-    return Stored(version=version)
+        current = msgspec.json.decode(response.body, type=_Object)
+        return Conflict(current=_make_object(kind, current))
+    return Stored(version=_read_body(response, _Object).meta.rev)
 
 
-def _read_object(kind: str, item: Any) -> StoredObject:
-    meta = item["meta"]
+def _make_object(kind: str, item: _Object) -> StoredObject:
     return StoredObject(
-        kind=kind, name=meta["name"], version=meta["rev"], value=item["spec"]
+        kind=kind, name=item.meta.name, version=item.meta.rev, value=item.spec
     )
--- a/shedsill/tests/test_platform_store.py
+++ b/shedsill/tests/test_platform_store.py
@@ -5,8 +5,11 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+import msgspec
 import pytest
 from aiohttp import web
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from shedsill._addresses import Address
 from shedsill.coordination.platform import (
@@ -27,6 +30,7 @@
 )
 from shedsill.coordination.watch import watch_changes
 from shedsill.datagram._messages import NodeReport, Role, dump_report
+from shedsill.datagram._runtime.http import Response
 from shedsill.datagram._runtime.reports import REPORT_KIND, ReportWriter
 from shedsill.platform import store as store_module
 from shedsill.platform.store import ObjectStore
@@ -255,3 +259,46 @@
         assert (REPORT_KIND, REPORT.host) not in stand_in.objects
 
     play(scenario)
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(
+                ["items", "events", "meta", "spec", "name", "rev", "current_rev"]
+                + ["truncated", "deleted", "object"]
+            ),
+            inner,
+            max_size=5,
+        )
+    ),
+    max_leaves=12,
+)
+CALLS = (
+    Get(kind="config", name="main"),
+    List(kinds=("config",)),
+    Watch(kinds=("config",), revision=1, patience=0.1),
+    Put(kind="config", name="main", value={}, expected=0),
+    Delete(kind="config", name="main", expected=3),
+)
+
+
+@settings(max_examples=300, deadline=None)
+@given(
+    call=st.sampled_from(CALLS),
+    status=st.sampled_from([200, 201, 404, 409, 410, 429, 503]),
+    body=JSON.map(msgspec.json.encode) | st.binary(max_size=40),
+)
+def test_any_answer_of_the_store_is_an_outcome(call, status, body) -> None:
+    """A body of another form ended the watch of a balancer for good."""
+
+    class Answering:
+        async def request(self, *_arguments, **_options) -> Response:
+            return Response(status=status, body=body)
+
+    store = ObjectStore(Address("127.0.0.1", 1))
+    store._client = Answering()
+    outcome = asyncio.run(store.call(call))
+    assert isinstance(outcome, Outcome)
