--- a/shedsill/datagram/_balancer_state.py
+++ b/shedsill/datagram/_balancer_state.py
@@ -23,7 +23,10 @@
     host : str
         The agent that holds it; empty until the caller has chosen one.
     boot : str
-        The upstream's run when it took the flow.
+        The upstream's run when it took the flow, as its agent said; empty where
+        the agent did not know it yet.
+    boots : dict of str to str
+        The same of each agent whose upstream has answered the opening packet.
     offered : dict of str to int or None
         Agents that were offered the opening packet, with the sequence number
         that their upstream answered with.
@@ -40,6 +43,7 @@
     host: str = ""
     boot: str = ""
     offered: dict[str, int | None] = field(default_factory=dict)
+    boots: dict[str, str] = field(default_factory=dict)
     refused: set[str] = field(default_factory=set)
     opening: Packet | None = None
     offered_at: float = 0.0
--- a/shedsill/datagram/_openings.py
+++ b/shedsill/datagram/_openings.py
@@ -114,6 +114,7 @@
     flow.opening = packet
     if len(flow.offered) >= MAX_OFFERS:
         flow.offered.clear()
+        flow.boots.clear()
         flow.refused.clear()
     return _offer(state, flow, packet, route, now)
 
@@ -134,10 +135,10 @@
 
 def _hold_at(state: BalancerState, flow: BalancerFlow, host: str) -> None:
     flow.host = host
+    flow.boot = flow.boots.get(host, "")
     flow.offered.clear()
+    flow.boots.clear()
     flow.opening = None
-    view = state.nodes.upstreams.get(host)
-    flow.boot = view.report.boot if view else ""
     state.holding_hosts.add(host)
 
 
@@ -150,6 +151,7 @@
         flow = state.flows.get(taken.flow)
     if flow is not None and not flow.host:
         flow.offered[source] = taken.initial_seq
+        flow.boots[source] = taken.boot
         flow.opening = None
         return [ObserveLatency(now - flow.offered_at)]
     return []
--- a/shedsill/testing/datagrams.py
+++ b/shedsill/testing/datagrams.py
@@ -87,6 +87,7 @@
     routers: dict[bytes, str] = field(factory=dict)
     stored: dict[str, NodeReport] = field(factory=dict)
     store_up: bool = True
+    first_beat: float = LATENCY
     cut: set[str] = field(factory=set)
     table: ForwardingTable = field(factory=ForwardingTable)
     notes: list[tuple[str, Note]] = field(factory=list)
@@ -160,7 +161,7 @@
         if self.store_up:
             self._tell_earlier(host, state.report, at_start=True)
         self._schedule(TICK, lambda: self._tick(host, state))
-        self._schedule(LATENCY, lambda: self._beat(host))
+        self._schedule(self.first_beat, lambda: self._beat(host))
         return state
 
     def start_upstream(self, host: str, service: str) -> Upstream:
--- a/shedsill/tests/test_datagram_flows.py
+++ b/shedsill/tests/test_datagram_flows.py
@@ -521,3 +521,23 @@
     world.add_balancer(B1)
     world.run(6.0)
     assert caller.outcome == "answered"
+
+
+def test_a_flow_opened_before_the_first_heartbeat_is_kept(world: World) -> None:
+    """Found on an incident: the balancer had the last run's boot from the store, and
+    reset the flow when the first heartbeat told the new one; a claim was lost."""
+    for host in (A1, A2, B1, B2):
+        world.kill(host)
+    for host in (A1, A2):
+        world.crash_upstream(host)
+        world.start_upstream(host, "dispatcher")
+    world.add_balancer(B1)
+    world.first_beat = 0.3
+    for host in (A1, A2):
+        state = world.add_agent(host, "dispatcher")
+        state.seeds = (B1,)
+    caller = world.call("dispatcher", B1, requests=12)
+    world.run(0.02)
+    assert caller.open
+    world.run(6.0)
+    assert caller.outcome == "answered"
