--- a/shedsill/datagram/_agent_packets.py
+++ b/shedsill/datagram/_agent_packets.py
@@ -165,12 +165,15 @@
         effects += _report_found(state, packet.flow, now)
     flow.phase = Phase.OPEN
     flow.seen = now
+    # The FIN of a flow of one request often comes before its answer.  Where the
+    # caller has closed, it only closes the other end.
+    overtaking = packet.flags & FIN and flow.working and not flow.closed
     if packet.flags & (FIN | RST):
         flow.closed = True
     effects += _slots.take_acknowledgement(state, flow, packet, now)
-    if packet.length:
+    if packet.length or overtaking:
         effects += _slots.finish_request(state, packet.flow, flow, now, answered=True)
-    elif flow.closed and packet.flags & (FIN | RST):
+    elif packet.flags & (FIN | RST):
         effects += _slots.drop_request(state, packet.flow, now)
     return effects
 
--- a/shedsill/tests/test_datagram_slots.py
+++ b/shedsill/tests/test_datagram_slots.py
@@ -8,7 +8,7 @@
 from shedsill.datagram import _slots
 from shedsill.datagram._agent_packets import take_forwarded, take_upstream_packet
 from shedsill.datagram._agent_state import AgentState, make_load
-from shedsill.datagram._effects import Effect, SendToUpstream
+from shedsill.datagram._effects import Effect, ObserveLatency, SendToUpstream
 from shedsill.datagram._events import (
     EarlierReportRead,
     ForwardedPacket,
@@ -17,7 +17,7 @@
     UpstreamPacket,
 )
 from shedsill.datagram._messages import Load, NodeReport, Role, UpstreamState
-from shedsill.datagram._packet import ACK, RST, SYN, Packet
+from shedsill.datagram._packet import ACK, FIN, RST, SYN, Packet
 from shedsill.datagram._selection import DEFAULT_SLOTS, number_service
 from shedsill.datagram._upstream import take_earlier_report, take_heartbeat
 
@@ -336,3 +336,52 @@
     for number in range(3):
         answer(state, b"bad%d" % number, 40.001)
     assert make_load(state, 40.002).avoided > 0.0
+
+
+def close(state: AgentState, flow: bytes, now: float) -> list[Effect]:
+    """Have the upstream's FIN come, which may overtake the answer before it."""
+    packet = make_packet(flow, ACK | FIN, seq=900)
+    return take_upstream_packet(state, UpstreamPacket(packet=packet, now=now))
+
+
+def test_an_end_that_overtakes_its_answer_counts_as_the_answer(
+    state: AgentState,
+) -> None:
+    """A flow of one request is closed with its answer, and the FIN may come first."""
+    ask(state, b"a", 1.0)
+    effects = close(state, b"a", 1.05)
+    assert [e.seconds for e in effects if isinstance(e, ObserveLatency)] == [
+        pytest.approx(0.05)
+    ]
+    assert state.health.answers == 1
+    assert state.working == 0
+
+
+def test_quick_failures_on_flows_of_one_request_are_noticed(state: AgentState) -> None:
+    for number in range(20):
+        ask(state, b"ok%d" % number, 1.0 + number)
+        close(state, b"ok%d" % number, 1.05 + number)
+    for number in range(3):
+        ask(state, b"bad%d" % number, 30.0 + number)
+        close(state, b"bad%d" % number, 30.001 + number)
+    assert make_load(state, 32.002).avoided > 0.0
+
+
+def test_an_end_does_not_answer_a_held_request(state: AgentState) -> None:
+    fill(state)
+    ask(state, b"held", 1.1)
+    close(state, b"held", 1.2)
+    assert state.health.answers == 0
+    assert not state.held
+
+
+def test_the_end_of_a_flow_that_its_caller_closed_is_no_answer(
+    state: AgentState,
+) -> None:
+    """Callers that give up close; the upstream's FIN follows within a millisecond,
+    and was taken for a failure of the upstream."""
+    ask(state, b"a", 1.0)
+    forward(state, make_packet(b"a", ACK | FIN, seq=11), 1.05)
+    close(state, b"a", 1.051)
+    assert state.health.answers == 0
+    assert state.working == 0
