--- a/shedsill/datagram/_agent_packets.py
+++ b/shedsill/datagram/_agent_packets.py
@@ -69,6 +69,7 @@
     flow.caller_ack = packet.ack
     if packet.flags & (FIN | RST):
         flow.closed = True
+        _slots.note_closed(state, packet.flow)
     if packet.flags & RST:
         dropped = _slots.drop_request(state, packet.flow, now)
         return [SendToUpstream(packet, event.balancer), *dropped]
@@ -93,6 +94,8 @@
             delay=get_copy_delay(packet),
         )
         state.flows[packet.flow] = flow
+        if flow.delay:
+            state.backlog.openings_lost_at = now - flow.delay
     flow.seen = now
     flow.balancer = balancer
     note_owed(state, now)
--- a/shedsill/datagram/_agent_state.py
+++ b/shedsill/datagram/_agent_state.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import enum
-from typing import TYPE_CHECKING
 
 from msgspec import Struct, field
 from msgspec.structs import replace
 
 from shedsill._catalogue import LogEvent
 from shedsill._shared_effects import Note
+from shedsill.datagram._backlog import Backlog
 from shedsill.datagram._effects import Effect, SendMessage, StoreReport
 from shedsill.datagram._health import Health, get_avoided
 from shedsill.datagram._messages import (
@@ -23,9 +23,6 @@
 )
 from shedsill.datagram._packet import RST, Packet, is_opening
 
-if TYPE_CHECKING:
-    from shedsill.datagram._slots import HeldRequest
-
 AVERAGE_TIME = 1.0
 """Time constant, in seconds, of the average of busy requests."""
 
@@ -92,13 +89,11 @@
         Requests that have come and are not answered.
     working : int
         Those of them that the upstream was given.
-    held : dict of bytes to HeldRequest
-        The others, by flow; see `shedsill.datagram._slots`.
+    backlog : Backlog
+        The others.
     earlier_boot : str
         The upstream's run as an earlier run of this agent knew it; empty where
         that is not known.
-    passed_fresh : int
-        Held requests passed on since the last overdue one.
     health : Health
         What the upstream's own answers say of it.
     cold_until : float
@@ -123,8 +118,7 @@
     cold_until: float = 0.0
     busy: int = 0
     working: int = 0
-    held: dict[bytes, HeldRequest] = field(default_factory=dict)
-    passed_fresh: int = 0
+    backlog: Backlog = field(default_factory=Backlog)
     average: float = 0.0
     average_at: float = 0.0
     earlier_boot: str = ""
--- a/shedsill/datagram/_forwarding.py
+++ b/shedsill/datagram/_forwarding.py
@@ -23,6 +23,8 @@
         Priority among the requests of an upstream; 0 is the highest.
     timeout : float
         Seconds after which callers give a request up.
+    objective : float
+        Seconds within which callers want the answer; 0 where that is not said.
     bulk : bool
         Whether callers mostly send large bodies, so that the place of the
         upstream matters more than its load.
@@ -32,6 +34,7 @@
     shares: tuple[ServiceShare, ...]
     urgency: int = 0
     timeout: float = 0.0
+    objective: float = 0.0
     bulk: bool = False
 
 
--- a/shedsill/datagram/_health.py
+++ b/shedsill/datagram/_health.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from msgspec import Struct
+from msgspec import Struct, field
 
 QUICK_SHARE = 0.12
 """An answer that came within this share of the usual time counts as a failure.
@@ -39,15 +39,28 @@
 """Seconds without a new reason after which pauses begin short again."""
 
 
+class ServiceTime(Struct):
+    """Mean time of the ordinary answers.
+
+    Attributes
+    ----------
+    seconds : float
+        The mean, in which later answers weigh more.
+    answers : int
+        Answers seen.
+    """
+
+    seconds: float = 0.0
+    answers: int = 0
+
+
 class Health(Struct):
     """What an agent has seen of its upstream.
 
     Attributes
     ----------
-    usual : float
-        Usual time of an answer in seconds.
-    answers : int
-        Ordinary answers seen.
+    warm, cold : ServiceTime
+        How long requests take at full speed, and just after a start.
     quick : float
         Share of quick answers among the latest ones.
     pause : float
@@ -58,17 +71,24 @@
         When its last run ended without notice.
     """
 
-    usual: float = 0.0
-    answers: int = 0
+    warm: ServiceTime = field(default_factory=ServiceTime)
+    cold: ServiceTime = field(default_factory=ServiceTime)
     quick: float = 0.0
     pause: float = 0.0
     avoided_until: float = 0.0
     crashed_at: float | None = None
 
 
-def note_answer(health: Health, seconds: float, now: float) -> bool:
+def note_answer(
+    health: Health, seconds: float, now: float, *, cold: bool = False
+) -> bool:
     """Take in the time of one answer; return whether a pause begins.
 
+    Parameters
+    ----------
+    cold : bool
+        Whether the upstream still worked slowly after its start.
+
     Examples
     --------
     >>> health = Health()
@@ -79,20 +99,40 @@
     >>> get_avoided(health, 2.25)
     0.75
     """
-    known = health.answers >= USUAL_MINIMUM
-    is_quick = known and seconds < QUICK_SHARE * health.usual
+    usual = health.cold if cold else health.warm
+    known = usual.answers >= USUAL_MINIMUM
+    is_quick = known and seconds < QUICK_SHARE * usual.seconds
     health.quick += (is_quick - health.quick) * QUICK_MEMORY
     if is_quick:
         if health.quick < QUICK_LIMIT or now < health.avoided_until:
             return False
         _begin_pause(health, now)
         return True
-    health.answers += 1
-    weight = max(USUAL_MEMORY, 1 / health.answers)
-    health.usual += (seconds - health.usual) * weight
+    usual.answers += 1
+    weight = max(USUAL_MEMORY, 1 / usual.answers)
+    usual.seconds += (seconds - usual.seconds) * weight
     return False
 
 
+def estimate_service(health: Health, *, cold: bool) -> float:
+    """Return the mean seconds of a request; 0 where no answer has been seen.
+
+    What has been seen only in the other state of warmth is taken for both.
+
+    Examples
+    --------
+    >>> health = Health()
+    >>> note_answer(health, 0.08, 1.0, cold=True)
+    False
+    >>> estimate_service(health, cold=False)
+    0.08
+    """
+    first, second = health.warm, health.cold
+    if cold:
+        first, second = second, first
+    return first.seconds if first.answers else second.seconds
+
+
 def note_crash(health: Health, now: float) -> None:
     """Note that a run of the upstream has ended without notice."""
     earlier = health.crashed_at
--- a/shedsill/datagram/_packet.py
+++ b/shedsill/datagram/_packet.py
@@ -49,6 +49,9 @@
         Whether the route carries large bodies, as its balancer says.
     timeout : float
         Seconds after which its caller gives up, as its balancer says.
+    objective : float
+        Seconds within which its caller wants the answer, as its balancer says; 0
+        where that is not known.
     balancer : str
         For a bounced packet, the host of the balancer that had sent it.
     """
@@ -64,6 +67,7 @@
     urgency: int = 0
     bulk: bool = False
     timeout: float = 0.0
+    objective: float = 0.0
     balancer: str = ""
 
 
--- a/shedsill/datagram/_slots.py
+++ b/shedsill/datagram/_slots.py
@@ -1,15 +1,10 @@
-"""Which request the upstream gets next when its slots are taken.
+"""How many requests the upstream is given at once, and the holding of the others.
 
 An upstream works on a few requests at once and queues the rest first come,
 first served.  Once that queue is longer than callers want to wait, every request
 in it is late, the ones that have just come too.  So the agent holds requests
-back while the slots are taken, and gives the upstream the most urgent one when
-a slot is free: the higher priority first, and of one priority the one whose
-caller has waited the least, as far as the copies of its opening packet tell.
-So fresh requests are served in time also while more come than can be served.
-One that was held for `HOLD_SHARE` of its timeout is overdue; every fourth free
-slot goes to the oldest of these, so that none waits for ever, and all of them
-follow once nothing fresh waits.
+back while the slots are taken, and gives the upstream one when a slot is free;
+which one is decided by `shedsill.datagram._backlog`.
 
 Only the first content of a request is held.  The rest of a flow is never
 reordered, and nothing is held on routes with large bodies, which take a slot
@@ -18,10 +13,9 @@
 
 from __future__ import annotations
 
-from msgspec import Struct
-
 from shedsill._catalogue import LogEvent
 from shedsill._shared_effects import Note
+from shedsill.datagram import _backlog
 from shedsill.datagram._agent_state import (
     AgentFlow,
     AgentState,
@@ -29,20 +23,12 @@
     change_busy,
     note_owed,
 )
+from shedsill.datagram._backlog import Forecast, HeldRequest
 from shedsill.datagram._effects import Effect, ObserveLatency, SendToUpstream
-from shedsill.datagram._health import note_answer
+from shedsill.datagram._health import estimate_service, note_answer
 from shedsill.datagram._packet import SEQUENCE_SPACE, Packet, measure_advance
 from shedsill.datagram._selection import DEFAULT_SLOTS
 
-HOLD_SHARE = 0.45
-"""Share of the route's timeout after which a held request is overdue: half of the
-time is left to serve it."""
-
-OVERDUE_EVERY = 4
-"""Every so many free slots, one goes to an overdue request.  When all of them went
-at once, as played after power losses, they filled the upstreams' queues and made
-the fresh ones late, which became overdue in their turn."""
-
 CALLER_SILENCE = 3.5
 """Seconds without a packet of its caller after which a held request is dropped:
 callers send again after 1.6 s at most, so two sendings are missing."""
@@ -52,35 +38,11 @@
 upstream has dropped it."""
 
 
-class HeldRequest(Struct):
-    """A request whose upstream has no free slot.
-
-    Attributes
-    ----------
-    packets : list of Packet
-        The flow's content since the request began; other packets pass.
-    since : float
-        When it came.
-    asked : float
-        When its caller first asked for it, as far as known.
-    urgency : int
-        Priority of its route; 0 is the highest.
-    overdue_at : float
-        From when it is overdue.
-    """
-
-    packets: list[Packet]
-    since: float
-    asked: float
-    urgency: int
-    overdue_at: float
-
-
 def take_content(
     state: AgentState, flow: AgentFlow, packet: Packet, now: float
 ) -> list[Effect]:
     """Give the upstream a packet with content, or hold it back."""
-    held = state.held.get(packet.flow)
+    held = state.backlog.held.get(packet.flow)
     if held is not None:
         if all(packet.seq != known.seq for known in held.packets):
             held.packets.append(packet)
@@ -91,13 +53,15 @@
         change_busy(state, 1, now)
         asked, flow.delay = now - flow.delay, 0.0
         if not packet.bulk and _is_full(state):
-            state.held[packet.flow] = HeldRequest(
+            request = HeldRequest(
                 packets=[packet],
                 since=now,
                 asked=asked,
                 urgency=packet.urgency,
-                overdue_at=now + packet.timeout * HOLD_SHARE,
+                wanted_by=asked + (packet.objective or packet.timeout),
+                deadline=asked + packet.timeout,
             )
+            _backlog.hold(state.backlog, packet.flow, request)
             return [_note_held(state, packet)]
         _begin_work(state, flow, now)
     _note_passed(flow, packet)
@@ -124,16 +88,19 @@
         flow.caller_end = (packet.seq + packet.length) % SEQUENCE_SPACE
 
 
+def _count_slots(state: AgentState) -> int:
+    return state.report.load.slots or DEFAULT_SLOTS
+
+
 def _is_full(state: AgentState) -> bool:
-    slots = state.report.load.slots or DEFAULT_SLOTS
-    return state.working >= slots
+    return state.working >= _count_slots(state)
 
 
 def _note_held(state: AgentState, packet: Packet) -> Note:
     fields = {
         "flow": packet.flow,
         "working": state.working,
-        "held": len(state.held),
+        "held": len(state.backlog.held),
         "urgency": packet.urgency,
     }
     return Note(event=LogEvent.REQUEST_HELD, fields=fields)
@@ -147,7 +114,7 @@
     After a restart of the agent, a first copy of it may have been given to the
     upstream before the flow was known.
     """
-    held = state.held.get(packet.flow)
+    held = state.backlog.held.get(packet.flow)
     if held is None:
         return []
     last = held.packets[-1]
@@ -158,6 +125,13 @@
     return drop_request(state, packet.flow, now)
 
 
+def note_closed(state: AgentState, key: bytes) -> None:
+    """Note that a caller has closed its end while its request is held."""
+    held = state.backlog.held.get(key)
+    if held is not None:
+        held.closed = True
+
+
 def finish_request(
     state: AgentState, key: bytes, flow: AgentFlow, now: float, *, answered: bool
 ) -> list[Effect]:
@@ -181,20 +155,21 @@
 ) -> list[Effect]:
     seconds = now - flow.waiting_since
     effects: list[Effect] = [ObserveLatency(seconds)]
-    if note_answer(state.health, now - flow.working_since, now):
+    cold = flow.working_since < state.cold_until
+    if note_answer(state.health, now - flow.working_since, now, cold=cold):
         effects += _note_failing(state, now)
     fields = {
         "flow": key,
         "took_ms": round(seconds * 1000),
         "working": state.working,
-        "held": len(state.held),
+        "held": len(state.backlog.held),
     }
     return [*effects, Note(event=LogEvent.REQUEST_ANSWERED, fields=fields)]
 
 
 def _note_failing(state: AgentState, now: float) -> list[Effect]:
     fields = {
-        "usual_ms": round(state.health.usual * 1000),
+        "usual_ms": round(state.health.warm.seconds * 1000),
         "pause": state.health.pause,
     }
     note = Note(event=LogEvent.UPSTREAM_FAILING, fields=fields)
@@ -203,30 +178,24 @@
 
 def _pass_next(state: AgentState, now: float) -> list[Effect]:
     effects: list[Effect] = []
-    while state.held and not _is_full(state):
-        effects += _pass_on(state, _choose_next(state, now), now)
+    while state.backlog.held and not _is_full(state):
+        flow = _backlog.choose_next(state.backlog, _forecast(state, now))
+        effects += _pass_on(state, flow, now)
     return effects
 
 
-def _choose_next(state: AgentState, now: float) -> bytes:
-    """Return the flow whose held request gets the next free slot."""
-    held = state.held
-    overdue = [key for key in held if now >= held[key].overdue_at]
-    is_turn = state.passed_fresh >= OVERDUE_EVERY - 1
-    if overdue and (is_turn or len(overdue) == len(held)):
-        state.passed_fresh = 0
-        return min(overdue, key=lambda key: held[key].asked)
-    state.passed_fresh += 1
-    fresh = held.keys() - overdue if overdue else held
-    return min(fresh, key=lambda key: _rank(held[key]))
-
-
-def _rank(held: HeldRequest) -> tuple[int, float]:
-    return held.urgency, -held.asked
+def _forecast(state: AgentState, now: float) -> Forecast:
+    return Forecast(
+        now=now,
+        slots=_count_slots(state),
+        cold_until=state.cold_until,
+        cold_service=estimate_service(state.health, cold=True),
+        service=estimate_service(state.health, cold=False),
+    )
 
 
 def _pass_on(state: AgentState, key: bytes, now: float) -> list[Effect]:
-    held = state.held.pop(key)
+    held = state.backlog.held.pop(key)
     flow = state.flows.get(key)
     if flow is None:
         return []
@@ -237,7 +206,7 @@
     fields = {
         "flow": key,
         "held_ms": round((now - held.since) * 1000),
-        "left": len(state.held),
+        "left": len(state.backlog.held),
     }
     return [
         *(SendToUpstream(packet, flow.balancer) for packet in held.packets),
@@ -247,7 +216,7 @@
 
 def drop_request(state: AgentState, key: bytes, now: float) -> list[Effect]:
     """Forget the request of a flow that has ended."""
-    state.held.pop(key, None)
+    state.backlog.held.pop(key, None)
     flow = state.flows.get(key)
     if flow is None:
         return []
@@ -257,7 +226,7 @@
 def take_tick(state: AgentState, now: float) -> list[Effect]:
     """Drop requests that nobody waits for; forget those that are never answered."""
     effects: list[Effect] = []
-    for key, held in list(state.held.items()):
+    for key, held in list(state.backlog.held.items()):
         flow = state.flows.get(key)
         if flow is None or now - flow.seen > CALLER_SILENCE:
             fields = {"flow": key, "held_ms": round((now - held.since) * 1000)}
@@ -271,6 +240,6 @@
 
 def clear(state: AgentState, now: float) -> None:
     """Forget every request: the upstream's run has ended."""
-    state.held.clear()
+    state.backlog.held.clear()
     state.working = 0
     change_busy(state, -state.busy, now)
--- a/shedsill/platform/manifest.py
+++ b/shedsill/platform/manifest.py
@@ -31,6 +31,8 @@
         Not a path: the service's port between slashes.
     type : str
         ``safe`` (may be repeated), ``unsafe`` or ``upload`` (large bodies).
+    slo_ms : int
+        Latency objective.
     """
 
     name: str
@@ -39,6 +41,7 @@
     type: str = "safe"
     priority: int = 0
     timeout_ms: int = 0
+    slo_ms: int = 0
     service: str = ""
     backends: tuple[_Backend, ...] = ()
 
@@ -96,6 +99,7 @@
         shares=shares,
         urgency=route.priority,
         timeout=route.timeout_ms / 1000,
+        objective=route.slo_ms / 1000,
         bulk=route.type == "upload",
     )
 
--- a/shedsill/platform/packets.py
+++ b/shedsill/platform/packets.py
@@ -4,9 +4,10 @@
 port (8, 2), destination (10, 4), destination port (14, 2), source (16, 4), echo
 (20, 4), sequence number (24, 4), acknowledgement (28, 4), sum (32, 4).
 
-The sum does not cover pad and echo, so balancers put what the route says and the
-number of the service into pad, and agents put the balancer's IP number into
-echo, which comes back with a bounced packet.
+The sum does not cover pad and echo.  Towards agents, balancers put the route's
+urgency and the number of the service into pad, and its times into echo.  Towards
+upstreams, agents put the balancer's IP number into echo, which comes back with a
+bounced packet.
 """
 
 from __future__ import annotations
@@ -23,18 +24,18 @@
 NUMBERS = struct.Struct(">HHIHIIII")
 """Length, source port, destination, destination port, source, echo, sequence
 number and acknowledgement, from octet 6 on."""
-SERVICE = struct.Struct(">I")
+WORD = struct.Struct(">I")
+TIMES = struct.Struct(">HH")
+"""A route's timeout and latency objective in milliseconds."""
+MAX_TIME = 0xFFFF
 NO_PAD = bytes(5)
 NO_ECHO = bytes(4)
 
 BULK_BIT = 0x80
 URGENCY_SHIFT = 4
 MAX_URGENCY = 7
-MAX_TIMEOUT = 15
-"""In the first octet of pad, towards agents, stands what the route says of the
-flow: whether it is bulk, its urgency in 3 bits, its timeout in 4."""
-TIMEOUT_UNIT = 0.5
-"""Seconds; agents use the timeout only to bound how long they hold a request."""
+"""The first octet of pad, towards agents, says whether the route is bulk, and its
+urgency in 3 bits."""
 
 BOUNCED_BIT = 2
 _FLAG_BITS = {4: SYN, 128: ACK, 16: FIN, 32: RST, BOUNCED_BIT: BOUNCED}
@@ -68,8 +69,10 @@
             return None
         packet.bulk = bool(data[1] & BULK_BIT)
         packet.urgency = data[1] >> URGENCY_SHIFT & MAX_URGENCY
-        packet.timeout = (data[1] & MAX_TIMEOUT) * TIMEOUT_UNIT
-        return packet, SERVICE.unpack_from(data, 2)[0]
+        timeout, objective = TIMES.unpack_from(data, 20)
+        packet.timeout = timeout / 1000
+        packet.objective = objective / 1000
+        return packet, WORD.unpack_from(data, 2)[0]
 
     def decode_upstream(self, data: bytes) -> Packet | None:
         """Read a packet from an upstream, or one that it bounced."""
@@ -95,8 +98,8 @@
     ) -> bytes:
         """Write a caller's packet for an agent."""
         data = packet.data
-        mark = _mark_route(route) + SERVICE.pack(service)
-        return data[:1] + mark + data[6:20] + NO_ECHO + data[24:]
+        pad = _mark_route(route) + WORD.pack(service)
+        return data[:1] + pad + data[6:20] + _pack_times(route) + data[24:]
 
     def encode_for_upstream(self, packet: Packet, balancer: str) -> bytes:
         """Write a caller's packet for the upstream."""
@@ -108,7 +111,7 @@
         """Write a reset: no content, sum 0, from the service to the caller."""
         ports_and_addresses = flow[6:8] + flow[8:12] + flow[0:2] + flow[2:6]
         head = bytes([RESET_OCTET]) + NO_PAD + b"\0\0" + ports_and_addresses
-        return head + NO_ECHO + SERVICE.pack(seq) + bytes(8)
+        return head + NO_ECHO + WORD.pack(seq) + bytes(8)
 
     def get_caller(self, flow: bytes) -> str:
         """Return the host of the flow's caller."""
@@ -134,8 +137,14 @@
         return b"\0"
     bulk = BULK_BIT if route.bulk else 0
     urgency = min(route.urgency, MAX_URGENCY)
-    timeout = min(round(route.timeout / TIMEOUT_UNIT), MAX_TIMEOUT)
-    return bytes([bulk | urgency << URGENCY_SHIFT | timeout])
+    return bytes([bulk | urgency << URGENCY_SHIFT])
+
+
+def _pack_times(route: Route | None) -> bytes:
+    if route is None:
+        return NO_ECHO
+    times = (route.timeout, route.objective)
+    return TIMES.pack(*(min(round(seconds * 1000), MAX_TIME) for seconds in times))
 
 
 def _read_numbers(data: bytes) -> tuple[int, int, int]:
