--- a/shedsill/datagram/_agent.py
+++ b/shedsill/datagram/_agent.py
@@ -17,8 +17,10 @@
     NEWS_LIMIT,
     AgentState,
     Phase,
-    make_load,
+    note_balancer,
     publish,
+    tell_changed_load,
+    tell_load,
 )
 from shedsill.datagram._effects import CheckUpstream, Effect, SendMessage
 from shedsill.datagram._events import MessageReceived, StopRequested, Tick
@@ -59,25 +61,28 @@
 def take_message(state: AgentState, event: MessageReceived) -> list[Effect]:
     """Answer a balancer."""
     now = event.now
-    state.balancers[event.source] = now
+    note_balancer(state, event.source, now)
     match event.message:
         case Probe():
-            report = replace(state.report, load=make_load(state, now))
+            load = tell_load(state, event.source, now)
+            report = replace(state.report, load=load)
             return [SendMessage(event.source, Announcement(report=report))]
         case Locate(flows=flows):
-            return [SendMessage(event.source, _locate(state, flows, now))]
+            return [SendMessage(event.source, _locate(state, event.source, flows, now))]
         case Roster() | Announcement():
             return []
     return []
 
 
-def _locate(state: AgentState, flows: list[bytes], now: float) -> Located:
+def _locate(
+    state: AgentState, balancer: str, flows: list[bytes], now: float
+) -> Located:
     located = Located(
         boot=state.report.boot,
         held=[],
         unknown=[],
         unsure=[],
-        load=make_load(state, now),
+        load=tell_load(state, balancer, now),
     )
     for key in flows:
         flow = state.flows.get(key)
@@ -100,6 +105,7 @@
         state.next_sweep = now + SWEEP_INTERVAL
         effects += _sweep(state, now)
     effects += _slots.take_tick(state, now)
+    effects += tell_changed_load(state, now)
     if wants_check(state, now):
         state.checking = True
         state.checked_at = now
@@ -118,8 +124,8 @@
         if rest > (limit or state.flow_lifetime):
             effects += _slots.drop_request(state, key, now)
             del state.flows[key]
-    for host, at in list(state.balancers.items()):
-        if now - at > NEWS_LIMIT:
+    for host, contact in list(state.balancers.items()):
+        if now - contact.heard > NEWS_LIMIT:
             del state.balancers[host]
     if len(state.tried) > MAX_TRIED:
         state.tried.clear()
--- a/shedsill/datagram/_slots.py
+++ b/shedsill/datagram/_slots.py
@@ -21,13 +21,13 @@
     AgentState,
     announce,
     change_busy,
+    count_slots,
     note_owed,
 )
 from shedsill.datagram._backlog import Forecast, HeldRequest
 from shedsill.datagram._effects import Effect, ObserveLatency, SendToUpstream
 from shedsill.datagram._health import estimate_service, note_answer
 from shedsill.datagram._packet import SEQUENCE_SPACE, Packet, measure_advance
-from shedsill.datagram._selection import DEFAULT_SLOTS
 
 CALLER_SILENCE = 3.5
 """Seconds without a packet of its caller after which a held request is dropped:
@@ -88,12 +88,8 @@
         flow.caller_end = (packet.seq + packet.length) % SEQUENCE_SPACE
 
 
-def _count_slots(state: AgentState) -> int:
-    return state.report.load.slots or DEFAULT_SLOTS
-
-
 def _is_full(state: AgentState) -> bool:
-    return state.working >= _count_slots(state)
+    return state.working >= count_slots(state)
 
 
 def _note_held(state: AgentState, packet: Packet) -> Note:
@@ -187,7 +183,7 @@
 def _forecast(state: AgentState, now: float) -> Forecast:
     return Forecast(
         now=now,
-        slots=_count_slots(state),
+        slots=count_slots(state),
         cold_until=state.cold_until,
         cold_service=estimate_service(state.health, cold=True),
         service=estimate_service(state.health, cold=False),
