--- a/shedsill/datagram/_agent_packets.py
+++ b/shedsill/datagram/_agent_packets.py
@@ -88,6 +88,8 @@
     if flow is None:
         if len(state.flows) >= MAX_FLOWS:
             return return_packet(state, packet, balancer, ReturnReason.NOT_TAKING, now)
+        if not _slots.can_answer(state, packet, now):
+            return return_packet(state, packet, balancer, ReturnReason.OVERLOADED, now)
         flow = AgentFlow(
             phase=Phase.HALF_OPEN,
             seen=now,
--- a/shedsill/datagram/_backlog.py
+++ b/shedsill/datagram/_backlog.py
@@ -167,6 +167,11 @@
     return asked < lost_at - COPY_DELAYS[-1] + EARLIER_TRY
 
 
+def count_waiting(backlog: Backlog) -> int:
+    """Return the held requests whose callers have not closed."""
+    return sum(not request.closed for request in backlog.held.values())
+
+
 def choose_next(backlog: Backlog, forecast: Forecast) -> bytes:
     """Return the flow whose request gets the slot that is free now."""
     fresh, late = _split(backlog, forecast)
--- a/shedsill/datagram/_balancer.py
+++ b/shedsill/datagram/_balancer.py
@@ -196,7 +196,8 @@
         "reason": returned.reason.value,
     }
     note = Note(event=LogEvent.PACKET_RETURNED, fields=fields)
-    return [note, *_openings.offer_elsewhere(state, packet, source, now)]
+    reason = returned.reason
+    return [note, *_openings.offer_elsewhere(state, packet, source, reason, now)]
 
 
 def _take_denied(
--- a/shedsill/datagram/_balancer_state.py
+++ b/shedsill/datagram/_balancer_state.py
@@ -32,6 +32,8 @@
         that their upstream answered with.
     refused : set of str
         Agents that have handed the opening packet back.
+    overloaded : int
+        How many of them because they could not answer in time.
     opening : Packet or None
         The opening packet, until an upstream has answered.
     caller_ack : int
@@ -45,6 +47,7 @@
     offered: dict[str, int | None] = field(default_factory=dict)
     boots: dict[str, str] = field(default_factory=dict)
     refused: set[str] = field(default_factory=set)
+    overloaded: int = 0
     opening: Packet | None = None
     offered_at: float = 0.0
     caller_ack: int = 0
--- a/shedsill/datagram/_messages.py
+++ b/shedsill/datagram/_messages.py
@@ -172,6 +172,7 @@
 
     REFUSED = "refused"
     NOT_TAKING = "not taking new flows"
+    OVERLOADED = "more requests wait than can be answered before this one's deadline"
     NOT_HELD = "flow is not held"
     WRONG_SERVICE = "another service"
 
--- a/shedsill/datagram/_openings.py
+++ b/shedsill/datagram/_openings.py
@@ -12,7 +12,7 @@
 )
 from shedsill.datagram._effects import Effect, ObserveLatency, ResetFlow
 from shedsill.datagram._forwarding import Route, choose_service
-from shedsill.datagram._messages import FlowTaken
+from shedsill.datagram._messages import FlowTaken, ReturnReason
 from shedsill.datagram._packet import Packet, acknowledges
 from shedsill.datagram._selection import REFUSAL_PAUSE, choose_upstream
 
@@ -24,6 +24,10 @@
 MAX_OFFERS = 4
 """Upstreams that one opening packet is offered to."""
 
+MAX_OVERLOADED = 3
+"""Overloaded upstreams after which an opening is given up: load is spread evenly,
+and the least full ones are asked first."""
+
 MAX_FLOWS = 200_000
 """Flows remembered; a flow forgotten is found again by asking the agents."""
 
@@ -49,14 +53,16 @@
     now: float,
 ) -> list[Effect]:
     """Offer an opening packet to an upstream that has not been offered it."""
-    view = choose_upstream(
-        state.nodes.list_service(flow.service),
-        zone=state.report.zone,
-        bulk=route.bulk,
-        without=flow.offered.keys() | flow.refused,
-        flow=packet.flow,
-        now=now,
-    )
+    view = None
+    if flow.overloaded < MAX_OVERLOADED:
+        view = choose_upstream(
+            state.nodes.list_service(flow.service),
+            zone=state.report.zone,
+            bulk=route.bulk,
+            without=flow.offered.keys() | flow.refused,
+            flow=packet.flow,
+            now=now,
+        )
     flow.offered_at = now
     if view is None:
         return _give_up_opening(state, flow, packet)
@@ -87,7 +93,12 @@
     Neither is it while this balancer does not know the nodes yet.
     """
     known = state.nodes.list_service(flow.service)
-    fields = {"flow": packet.flow, "service": flow.service, "known": len(known)}
+    fields = {
+        "flow": packet.flow,
+        "service": flow.service,
+        "known": len(known),
+        "overloaded": flow.overloaded,
+    }
     if flow.offered or not known:
         return [Note(event=LogEvent.NO_CANDIDATE, fields=fields)]
     state.flows.pop(packet.flow, None)
@@ -116,6 +127,7 @@
         flow.offered.clear()
         flow.boots.clear()
         flow.refused.clear()
+        flow.overloaded = 0
     return _offer(state, flow, packet, route, now)
 
 
@@ -158,7 +170,11 @@
 
 
 def offer_elsewhere(
-    state: BalancerState, packet: Packet, source: str, now: float
+    state: BalancerState,
+    packet: Packet,
+    source: str,
+    reason: ReturnReason,
+    now: float,
 ) -> list[Effect]:
     """Offer an opening that was handed back to another upstream."""
     view = state.nodes.upstreams.get(source)
@@ -172,6 +188,7 @@
         return []
     del flow.offered[source]
     flow.refused.add(source)
+    flow.overloaded += reason == ReturnReason.OVERLOADED
     return _offer(state, flow, packet, route, now)
 
 
--- a/shedsill/datagram/_slots.py
+++ b/shedsill/datagram/_slots.py
@@ -27,7 +27,12 @@
 from shedsill.datagram._backlog import Forecast, HeldRequest
 from shedsill.datagram._effects import Effect, ObserveLatency, SendToUpstream
 from shedsill.datagram._health import estimate_service, note_answer
-from shedsill.datagram._packet import SEQUENCE_SPACE, Packet, measure_advance
+from shedsill.datagram._packet import (
+    SEQUENCE_SPACE,
+    Packet,
+    get_copy_delay,
+    measure_advance,
+)
 
 CALLER_SILENCE = 3.5
 """Seconds without a packet of its caller after which a held request is dropped:
@@ -180,6 +185,21 @@
     return effects
 
 
+def can_answer(state: AgentState, opening: Packet, now: float) -> bool:
+    """Whether a request on a new flow can be answered before its caller gives up.
+
+    All requests that wait are counted before it: if it went first, another one of
+    them would be lost.  Its caller is better told at once, while nothing has run,
+    than left to wait until it gives up.
+    """
+    if not opening.timeout:
+        return True
+    forecast = _forecast(state, now)
+    start = forecast.estimate_start(_backlog.count_waiting(state.backlog))
+    end = start + forecast.estimate_service(start)
+    return end <= now - get_copy_delay(opening) + opening.timeout
+
+
 def _forecast(state: AgentState, now: float) -> Forecast:
     return Forecast(
         now=now,
