--- a/shedsill/platform/node.py
+++ b/shedsill/platform/node.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import sys
 
 from shedsill.datagram._messages import Role
@@ -51,6 +52,8 @@
 async def run_node(file: SettingsFile, settings: PlatformSettings) -> int:
     """Run until the planned stop is complete; return the exit code."""
     node = make_node(file, settings)
+    gc.freeze()
+    gc.enable()
     await node.run()
     return EXIT_FAILED if node.failure else 0
 
