--- a/shedsill/datagram/_agent_state.py
+++ b/shedsill/datagram/_agent_state.py
@@ -257,6 +257,7 @@
         "flow": packet.flow,
         "reason": reason.value,
         "state": state.report.state.value,
+        "held": len(state.backlog.held),
         "balancer": balancer,
         "complete": state.complete,
     }
--- a/shedsill/datagram/_slots.py
+++ b/shedsill/datagram/_slots.py
@@ -222,6 +222,9 @@
     fields = {
         "flow": key,
         "held_ms": round((now - held.since) * 1000),
+        "late": now > held.wanted_by,
+        "tried_before": held.tried_before,
+        "closed": held.closed,
         "left": len(state.backlog.held),
     }
     return [
