--- a/shedsill/_catalogue.py
+++ b/shedsill/_catalogue.py
@@ -119,6 +119,7 @@
     UPSTREAM_SILENT = Entry(621, Level.WARNING, "upstream does not answer")
     UPSTREAM_UNREACHED = Entry(623, Level.INFO, "upstream's port was not reached")
     UPSTREAM_FAILING = Entry(627, Level.WARNING, "upstream answers too quickly")
+    HEARTBEAT_OUTDATED = Entry(628, Level.INFO, "heartbeat of an ended run passed over")
     UPSTREAM_LOST = Entry(622, Level.WARNING, "agent does not answer")
     HEARTBEAT_TAKEN = Entry(624, Level.INFO, "heartbeat with news of the upstream")
     BALANCER_ISOLATED = Entry(
--- a/shedsill/datagram/_agent_state.py
+++ b/shedsill/datagram/_agent_state.py
@@ -120,6 +120,14 @@
         that is not known.
     health : Health
         What the upstream's own answers say of it.
+    retired : set of str
+        Runs of the upstream that have ended.
+    heartbeat_serial : int
+        Serial of the current run's last heartbeat, and
+    heartbeat_at : float
+        when it came.
+    began_here : bool
+        Whether the current run was known from its first heartbeat on.
     cold_until : float
         Local time at which the upstream works at full speed.
     owed_since : float or None
@@ -139,6 +147,8 @@
     balancers: dict[str, BalancerContact] = field(default_factory=dict)
     retired: set[str] = field(default_factory=set)
     heartbeat_serial: int = 0
+    heartbeat_at: float = 0.0
+    began_here: bool = False
     cold_until: float = 0.0
     busy: int = 0
     working: int = 0
--- a/shedsill/datagram/_runtime/agent.py
+++ b/shedsill/datagram/_runtime/agent.py
@@ -40,6 +40,7 @@
 from shedsill.errors import DecodeError
 
 HTTP_BAD_REQUEST = 400
+HTTP_CONFLICT = 409
 CHECK_TIMEOUT = 0.5
 """Seconds in which the port of a living upstream on the same VM takes a
 connection; it is local, and a VM out of quota stands still for 0.1 s."""
@@ -135,6 +136,9 @@
         match call:
             case Heartbeat():
                 self.dispatch(HeartbeatReceived(heartbeat=call, now=self.now))
+                if call.boot != self.state.report.boot:
+                    # Not taken in, so it must not confirm a drain either.
+                    return Response(status=HTTP_CONFLICT, body=b"{}")
             case UpstreamLeft():
                 self.dispatch(call)
             case None:
--- a/shedsill/datagram/_upstream.py
+++ b/shedsill/datagram/_upstream.py
@@ -27,6 +27,10 @@
 FIRST_SERIAL = 1
 """Number of the first heartbeat of an upstream's run."""
 
+BOOT_SILENCE = 3.0
+"""Seconds without a heartbeat of the run that is known before a later heartbeat of
+another run is believed: two heartbeats of 1.2 s and half of one have stayed out."""
+
 UNANSWERED_LIMIT = 0.4
 """Seconds without any packet of the upstream, while it owes one, after which
 its port is tried.  It acknowledges within milliseconds, and callers send again
@@ -40,14 +44,15 @@
     """Take in what the upstream says of itself."""
     heartbeat, now = event.heartbeat, event.now
     report = state.report
-    if heartbeat.boot in state.retired:
-        return []
+    if heartbeat.boot in state.retired or _is_outdated(state, heartbeat, now):
+        return [_note_outdated(state, heartbeat)]
     effects: list[Effect] = []
     if heartbeat.boot != report.boot:
         effects += _change_boot(state, heartbeat, now)
     elif heartbeat.serial <= state.heartbeat_serial:
         return []
     state.heartbeat_serial = heartbeat.serial
+    state.heartbeat_at = now
     state.cold_until = now + heartbeat.cold
     changed = (heartbeat.boot, heartbeat.state, heartbeat.slots) != (
         report.boot,
@@ -67,6 +72,28 @@
     return [*effects, Note(event=LogEvent.HEARTBEAT_TAKEN, fields=fields)]
 
 
+def _is_outdated(state: AgentState, heartbeat: Heartbeat, now: float) -> bool:
+    """Whether a heartbeat of another run may be one that was held up on its way.
+
+    A run makes itself known with its first heartbeat.  A later one, while the known
+    run is alive, is of a run that has ended before.
+    """
+    report = state.report
+    if report.boot in ("", heartbeat.boot) or heartbeat.serial == FIRST_SERIAL:
+        return False
+    alive = report.state in (UpstreamState.READY, UpstreamState.DRAINING)
+    return alive and now - state.heartbeat_at < BOOT_SILENCE
+
+
+def _note_outdated(state: AgentState, heartbeat: Heartbeat) -> Note:
+    fields = {
+        "boot": heartbeat.boot,
+        "serial": heartbeat.serial,
+        "current": state.report.boot,
+    }
+    return Note(event=LogEvent.HEARTBEAT_OUTDATED, fields=fields)
+
+
 def _change_boot(state: AgentState, heartbeat: Heartbeat, now: float) -> list[Effect]:
     """Follow the upstream into a new run; the flows of the last one are gone.
 
@@ -76,9 +103,10 @@
     before = state.report.boot
     state.report = replace(state.report, boot=heartbeat.boot)
     state.heartbeat_serial = 0
-    began_here = heartbeat.serial == FIRST_SERIAL
-    if began_here or state.earlier_boot not in ("", heartbeat.boot):
+    state.began_here = heartbeat.serial == FIRST_SERIAL
+    if state.began_here or state.earlier_boot not in ("", heartbeat.boot):
         state.complete = True
+    _retire_earlier(state)
     if not before:
         return []
     state.retired.add(before)
@@ -88,6 +116,12 @@
     return free_flows(state, "upstream restarted", now)
 
 
+def _retire_earlier(state: AgentState) -> None:
+    """Never believe the run before this one again, if this one surely came later."""
+    if state.began_here and state.earlier_boot not in ("", state.report.boot):
+        state.retired.add(state.earlier_boot)
+
+
 def take_earlier_report(state: AgentState, event: EarlierReportRead) -> list[Effect]:
     """Learn from the last run of this agent what the upstream was like.
 
@@ -105,6 +139,7 @@
         state.earlier_boot = earlier.boot
         if earlier.boot and report.boot and earlier.boot != report.boot:
             state.complete = True
+            _retire_earlier(state)
     if not report.load.slots and earlier.service == report.service:
         load = replace(report.load, slots=earlier.load.slots)
         state.report = replace(report, load=load)
--- /dev/null
+++ b/shedsill/tests/test_datagram_heartbeats.py
@@ -0,0 +1,110 @@
+"""Heartbeats that arrive late, of runs that have ended."""
+
+from __future__ import annotations
+
+import pytest
+from msgspec.structs import replace
+
+from shedsill.datagram._agent_state import AgentFlow, AgentState, Phase
+from shedsill.datagram._effects import Effect, ResetFlow
+from shedsill.datagram._events import EarlierReportRead, Heartbeat, HeartbeatReceived
+from shedsill.datagram._messages import UpstreamState
+from shedsill.datagram._upstream import (
+    BOOT_SILENCE,
+    FIRST_SERIAL,
+    take_earlier_report,
+    take_heartbeat,
+)
+from shedsill.testing.agents import make_agent_state
+
+SLOTS = 2
+
+
+@pytest.fixture
+def agent() -> AgentState:
+    """An agent that has started beside the run i-2, of which i-1 was the last."""
+    state = make_agent_state(slots=0)
+    state.report = replace(
+        state.report, boot="", state=UpstreamState.UNKNOWN, incarnation=7
+    )
+    beat(state, "i-2", 5, 1.0)
+    state.flows[b"f"] = AgentFlow(phase=Phase.OPEN, seen=1.0, balancer="10.0.0.1")
+    return state
+
+
+def beat(
+    state: AgentState,
+    boot: str,
+    serial: int,
+    now: float,
+    upstream: UpstreamState = UpstreamState.READY,
+) -> list[Effect]:
+    heartbeat = Heartbeat(boot=boot, serial=serial, state=upstream, slots=SLOTS)
+    return take_heartbeat(state, HeartbeatReceived(heartbeat=heartbeat, now=now))
+
+
+def is_unmoved(state: AgentState, effects: list[Effect]) -> bool:
+    resets = [e for e in effects if isinstance(e, ResetFlow)]
+    ready = state.report.state == UpstreamState.READY
+    return state.report.boot == "i-2" and ready and b"f" in state.flows and not resets
+
+
+@pytest.mark.parametrize("upstream", [UpstreamState.READY, UpstreamState.DRAINING])
+def test_a_late_heartbeat_of_an_earlier_run_changes_nothing(
+    agent: AgentState, upstream: UpstreamState
+) -> None:
+    """An agent that has just started took it for a new run and reset every flow."""
+    assert is_unmoved(agent, beat(agent, "i-1", 9, 1.2, upstream))
+
+
+def test_two_late_heartbeats_change_nothing(agent: AgentState) -> None:
+    assert is_unmoved(agent, beat(agent, "i-1", 9, 1.2))
+    assert is_unmoved(agent, beat(agent, "i-1", 10, 1.3))
+    assert is_unmoved(agent, beat(agent, "i-2", 6, 2.2))
+
+
+def test_the_run_that_the_store_knew_before_is_never_taken_up_again() -> None:
+    state = make_agent_state(slots=0)
+    state.report = replace(state.report, boot="", incarnation=7)
+    earlier = replace(state.report, incarnation=3, boot="i-1")
+    beat(state, "i-2", FIRST_SERIAL, 1.0)
+    take_earlier_report(
+        state, EarlierReportRead(report=earlier, at_start=True, now=1.1)
+    )
+    beat(state, "i-1", 9, 1.0 + BOOT_SILENCE + 0.1)
+    assert state.report.boot == "i-2"
+
+
+def test_a_living_run_is_believed_after_a_late_heartbeat_of_another() -> None:
+    """The late one came first after the agent's start."""
+    state = make_agent_state(slots=0)
+    state.report = replace(state.report, boot="", incarnation=7)
+    earlier = replace(state.report, incarnation=3, boot="i-2")
+    beat(state, "i-1", 9, 1.0)
+    take_earlier_report(
+        state, EarlierReportRead(report=earlier, at_start=True, now=1.1)
+    )
+    beat(state, "i-2", 6, 1.0 + BOOT_SILENCE)
+    assert state.report.boot == "i-2"
+
+
+def test_a_new_run_is_taken_up_with_its_first_heartbeat(agent: AgentState) -> None:
+    effects = beat(agent, "i-3", FIRST_SERIAL, 1.2)
+    assert agent.report.boot == "i-3"
+    assert any(isinstance(e, ResetFlow) for e in effects)
+
+
+def test_a_new_run_whose_first_heartbeat_was_lost_is_taken_up_later(
+    agent: AgentState,
+) -> None:
+    assert is_unmoved(agent, beat(agent, "i-3", 2, 1.5))
+    beat(agent, "i-3", 4, 1.0 + BOOT_SILENCE)
+    assert agent.report.boot == "i-3"
+
+
+def test_a_new_run_is_taken_up_where_the_last_one_is_known_to_be_dead(
+    agent: AgentState,
+) -> None:
+    agent.report = replace(agent.report, state=UpstreamState.UNRESPONSIVE)
+    beat(agent, "i-3", 2, 1.5)
+    assert agent.report.boot == "i-3"
