--- a/shedsill/datagram/_backlog.py
+++ b/shedsill/datagram/_backlog.py
@@ -31,7 +31,6 @@
 """Mean service times that a late request is given before its deadline: the
 longest of twenty takes about that where times vary by half of their mean."""
 
-
 EARLIER_TRY = 1.5
 """Seconds that a caller may have spent on an earlier try of its request: callers
 give up an opening without an answer after 1.4 s and try again 0.1 s later, from
@@ -200,7 +199,7 @@
 
 def choose_next(backlog: Backlog, forecast: Forecast) -> bytes:
     """Return the flow whose request gets the slot that is free now."""
-    fresh, late = _split(backlog, forecast)
+    fresh, late = _split_by_lateness(backlog, forecast)
     savable = _list_savable(backlog, late, forecast)
     if fresh and not _must_rescue(backlog, savable, forecast):
         backlog.passed_fresh += 1
@@ -219,7 +218,9 @@
     return not request.closed, request.deadline
 
 
-def _split(backlog: Backlog, forecast: Forecast) -> tuple[list[bytes], list[bytes]]:
+def _split_by_lateness(
+    backlog: Backlog, forecast: Forecast
+) -> tuple[list[bytes], list[bytes]]:
     """Return the flows of fresh and of late requests."""
     answered_at = forecast.estimate_end(forecast.now)
     fresh = []
--- a/shedsill/datagram/_packet.py
+++ b/shedsill/datagram/_packet.py
@@ -48,7 +48,8 @@
     bulk : bool
         Whether the route carries large bodies, as its balancer says.
     timeout : float
-        Seconds after which its caller gives up, as its balancer says.
+        Seconds after which its caller gives up, as its balancer says; 0 where
+        that is not known.
     objective : float
         Seconds within which its caller wants the answer, as its balancer says; 0
         where that is not known.
--- a/shedsill/datagram/_slots.py
+++ b/shedsill/datagram/_slots.py
@@ -13,6 +13,8 @@
 
 from __future__ import annotations
 
+import math
+
 from shedsill._catalogue import LogEvent
 from shedsill._shared_effects import Note
 from shedsill.datagram import _backlog
@@ -57,14 +59,15 @@
         flow.waiting_since = now
         change_busy(state, 1, now)
         asked, flow.delay = now - flow.delay, 0.0
+        timeout = packet.timeout or math.inf
         if not packet.bulk and _is_full(state):
             request = HeldRequest(
                 packets=[packet],
                 since=now,
                 asked=asked,
                 urgency=packet.urgency,
-                wanted_by=asked + (packet.objective or packet.timeout),
-                deadline=asked + packet.timeout,
+                wanted_by=asked + (packet.objective or timeout),
+                deadline=asked + timeout,
             )
             _backlog.hold(state.backlog, packet.flow, request)
             return [_note_held(state, packet)]
--- a/shedsill/tests/test_datagram_slots.py
+++ b/shedsill/tests/test_datagram_slots.py
@@ -375,3 +375,12 @@
     assert state.backlog.openings_lost_at is None
     ask(state, b"second", 1.1, copy=1)
     assert state.backlog.openings_lost_at == pytest.approx(0.9)
+
+
+def test_a_request_without_a_known_timeout_is_not_taken_for_lost(
+    state: AgentState,
+) -> None:
+    flows = fill(state)
+    ask(state, b"late", 1.1, objective=0.1)
+    ask(state, b"unknown", 1.2, timeout=0.0)
+    assert answer(state, flows[0], 1.4) == [b"unknown"]
