--- a/shedsill/datagram/_agent.py
+++ b/shedsill/datagram/_agent.py
@@ -17,10 +17,8 @@
     NEWS_LIMIT,
     AgentState,
     Phase,
-    note_balancer,
+    make_load,
     publish,
-    tell_changed_load,
-    tell_load,
 )
 from shedsill.datagram._effects import CheckUpstream, Effect, SendMessage
 from shedsill.datagram._events import MessageReceived, StopRequested, Tick
@@ -61,28 +59,25 @@
 def take_message(state: AgentState, event: MessageReceived) -> list[Effect]:
     """Answer a balancer."""
     now = event.now
-    note_balancer(state, event.source, now)
+    state.balancers[event.source] = now
     match event.message:
         case Probe():
-            load = tell_load(state, event.source, now)
-            report = replace(state.report, load=load)
+            report = replace(state.report, load=make_load(state, now))
             return [SendMessage(event.source, Announcement(report=report))]
         case Locate(flows=flows):
-            return [SendMessage(event.source, _locate(state, event.source, flows, now))]
+            return [SendMessage(event.source, _locate(state, flows, now))]
         case Roster() | Announcement():
             return []
     return []
 
 
-def _locate(
-    state: AgentState, balancer: str, flows: list[bytes], now: float
-) -> Located:
+def _locate(state: AgentState, flows: list[bytes], now: float) -> Located:
     located = Located(
         boot=state.report.boot,
         held=[],
         unknown=[],
         unsure=[],
-        load=tell_load(state, balancer, now),
+        load=make_load(state, now),
     )
     for key in flows:
         flow = state.flows.get(key)
@@ -105,7 +100,6 @@
         state.next_sweep = now + SWEEP_INTERVAL
         effects += _sweep(state, now)
     effects += _slots.take_tick(state, now)
-    effects += tell_changed_load(state, now)
     if wants_check(state, now):
         state.checking = True
         state.checked_at = now
@@ -124,8 +118,8 @@
         if rest > (limit or state.flow_lifetime):
             effects += _slots.drop_request(state, key, now)
             del state.flows[key]
-    for host, contact in list(state.balancers.items()):
-        if now - contact.heard > NEWS_LIMIT:
+    for host, at in list(state.balancers.items()):
+        if now - at > NEWS_LIMIT:
             del state.balancers[host]
     if len(state.tried) > MAX_TRIED:
         state.tried.clear()
--- a/shedsill/datagram/_agent_packets.py
+++ b/shedsill/datagram/_agent_packets.py
@@ -9,12 +9,11 @@
     AgentFlow,
     AgentState,
     Phase,
-    note_balancer,
+    make_load,
     note_owed,
     return_packet,
     set_state,
     takes_flows,
-    tell_load,
 )
 from shedsill.datagram._effects import (
     Effect,
@@ -48,7 +47,7 @@
 def take_forwarded(state: AgentState, event: ForwardedPacket) -> list[Effect]:
     """Decide whether the upstream gets a packet."""
     packet, now = event.packet, event.now
-    note_balancer(state, event.balancer, now)
+    state.balancers[event.balancer] = now
     if event.service != number_service(state.report.service):
         return return_packet(
             state, packet, event.balancer, ReturnReason.WRONG_SERVICE, now
@@ -148,7 +147,7 @@
         flow=packet.flow,
         boot=state.report.boot,
         initial_seq=packet.seq,
-        load=tell_load(state, flow.balancer, now),
+        load=make_load(state, now),
     )
     fields = {"flow": packet.flow, "balancer": flow.balancer, "busy": state.busy}
     return [
@@ -196,7 +195,7 @@
         held=[key],
         unknown=[],
         unsure=[],
-        load=tell_load(state, balancer, now),
+        load=make_load(state, now),
     )
     return [note, SendMessage(balancer, located)]
 
--- a/shedsill/datagram/_agent_state.py
+++ b/shedsill/datagram/_agent_state.py
@@ -16,14 +16,12 @@
     Announcement,
     FlowDenied,
     Load,
-    LoadChanged,
     NodeReport,
     PacketReturned,
     ReturnReason,
     UpstreamState,
 )
 from shedsill.datagram._packet import RST, Packet, is_opening
-from shedsill.datagram._selection import DEFAULT_SLOTS
 
 AVERAGE_TIME = 1.0
 """Time constant, in seconds, of the average of busy requests."""
@@ -31,11 +29,6 @@
 NEWS_LIMIT = 10.0
 """Seconds for which a balancer that was heard of gets news directly."""
 
-LOAD_NEWS = 2.0
-"""Change of the busy requests per slot since a balancer was told that makes it
-be told again.  A balancer hears of the load with each flow that it places; one that
-has heard of a long queue places none there, and would not learn that it has gone."""
-
 
 class Phase(enum.Enum):
     """How far a flow has come at this upstream."""
@@ -82,21 +75,6 @@
     closed: bool = False
 
 
-class BalancerContact(Struct):
-    """A balancer as an agent knows it.
-
-    Attributes
-    ----------
-    heard : float
-        When its last message or packet came.
-    told : int
-        Busy requests, as it was told last.
-    """
-
-    heard: float
-    told: int = 0
-
-
 class AgentState(Struct):
     """Everything that an agent knows.
 
@@ -107,8 +85,8 @@
     complete : bool
         Whether `flows` has every flow of the upstream: false while some may be
         left from before the agent's start.
-    balancers : dict of str to BalancerContact
-        The balancers heard of lately, by host.
+    balancers : dict of str to float
+        When each balancer was last heard of.
     busy : int
         Requests that have come and are not answered.
     working : int
@@ -144,7 +122,7 @@
     complete: bool = False
     flows: dict[bytes, AgentFlow] = field(default_factory=dict)
     tried: dict[bytes, str] = field(default_factory=dict)
-    balancers: dict[str, BalancerContact] = field(default_factory=dict)
+    balancers: dict[str, float] = field(default_factory=dict)
     retired: set[str] = field(default_factory=set)
     heartbeat_serial: int = 0
     heartbeat_at: float = 0.0
@@ -167,11 +145,6 @@
     left: bool = False
 
 
-def count_slots(state: AgentState) -> int:
-    """Return how many requests the upstream works on at once, as far as known."""
-    return state.report.load.slots or DEFAULT_SLOTS
-
-
 def takes_flows(state: AgentState) -> bool:
     """Whether the upstream may be offered new flows.
 
@@ -195,37 +168,6 @@
     )
 
 
-def tell_load(state: AgentState, host: str, now: float) -> Load:
-    """Return how full the upstream is now, for a message to a balancer."""
-    load = make_load(state, now)
-    contact = state.balancers.get(host)
-    if contact is not None:
-        contact.told = load.busy
-    return load
-
-
-def tell_changed_load(state: AgentState, now: float) -> list[Effect]:
-    """Tell the balancers whose picture of the load is far from the truth."""
-    step = LOAD_NEWS * count_slots(state)
-    return [
-        SendMessage(
-            host,
-            LoadChanged(boot=state.report.boot, load=tell_load(state, host, now)),
-        )
-        for host, contact in state.balancers.items()
-        if abs(contact.told - state.busy) >= step
-    ]
-
-
-def note_balancer(state: AgentState, host: str, now: float) -> None:
-    """Note that a balancer is alive."""
-    contact = state.balancers.get(host)
-    if contact is None:
-        state.balancers[host] = BalancerContact(heard=now)
-    else:
-        contact.heard = now
-
-
 def update_average(state: AgentState, now: float) -> None:
     """Bring the average of busy requests up to now."""
     share = min((now - state.average_at) / AVERAGE_TIME, 1.0)
@@ -255,7 +197,7 @@
     """Hand a packet back to its balancer."""
     if packet.flags & RST:
         return []
-    load = tell_load(state, balancer, now)
+    load = make_load(state, now)
     boot = state.report.boot
     if is_opening(packet):
         message = PacketReturned(
@@ -307,21 +249,12 @@
 
 def announce(state: AgentState, now: float) -> list[Effect]:
     """Tell the balancers, but not the store, how the upstream is now."""
-    hosts = list_balancers(state, now)
-    reports = [
-        replace(state.report, load=tell_load(state, host, now)) for host in hosts
-    ]
-    return [
-        SendMessage(host, Announcement(report=report))
-        for host, report in zip(hosts, reports, strict=True)
-    ]
+    report = replace(state.report, load=make_load(state, now))
+    announcement = Announcement(report=report)
+    return [SendMessage(host, announcement) for host in list_balancers(state, now)]
 
 
 def list_balancers(state: AgentState, now: float) -> list[str]:
     """Return the balancers that get news directly."""
-    recent = [
-        host
-        for host, contact in state.balancers.items()
-        if now - contact.heard < NEWS_LIMIT
-    ]
+    recent = [h for h, at in state.balancers.items() if now - at < NEWS_LIMIT]
     return sorted({*recent, *state.seeds})
--- a/shedsill/datagram/_balancer.py
+++ b/shedsill/datagram/_balancer.py
@@ -32,7 +32,6 @@
     Announcement,
     FlowDenied,
     FlowTaken,
-    LoadChanged,
     Located,
     PacketReturned,
     Probe,
@@ -150,9 +149,6 @@
         case FlowDenied():
             _note_load(state, source, message, now)
             return _take_denied(state, message, source, now)
-        case LoadChanged():
-            _note_load(state, source, message, now)
-            return []
     return []
 
 
@@ -175,7 +171,7 @@
 def _note_load(
     state: BalancerState,
     source: str,
-    message: FlowTaken | Located | PacketReturned | FlowDenied | LoadChanged,
+    message: FlowTaken | Located | PacketReturned | FlowDenied,
     now: float,
 ) -> None:
     view = state.nodes.upstreams.get(source)
--- a/shedsill/datagram/_messages.py
+++ b/shedsill/datagram/_messages.py
@@ -205,13 +205,6 @@
     load: Load
 
 
-class LoadChanged(Struct, frozen=True, kw_only=True, array_like=True):
-    """An upstream has become much busier or freer than its agent told last."""
-
-    boot: str
-    load: Load
-
-
 Message = (
     Announcement
     | Probe
@@ -221,7 +214,6 @@
     | Located
     | PacketReturned
     | FlowDenied
-    | LoadChanged
 )
 
 _CLASSES: tuple[type, ...] = (
@@ -233,7 +225,6 @@
     Located,
     PacketReturned,
     FlowDenied,
-    LoadChanged,
 )
 _CODES = {cls: bytes([code]) for code, cls in enumerate(_CLASSES)}
 _DECODERS = [msgspec.msgpack.Decoder(cls) for cls in _CLASSES]
--- a/shedsill/datagram/_slots.py
+++ b/shedsill/datagram/_slots.py
@@ -23,7 +23,6 @@
     AgentState,
     announce,
     change_busy,
-    count_slots,
     note_owed,
 )
 from shedsill.datagram._backlog import Forecast, HeldRequest
@@ -35,6 +34,7 @@
     get_copy_delay,
     measure_advance,
 )
+from shedsill.datagram._selection import DEFAULT_SLOTS
 
 CALLER_SILENCE = 3.5
 """Seconds without a packet of its caller after which a held request is dropped:
@@ -96,8 +96,12 @@
         flow.caller_end = (packet.seq + packet.length) % SEQUENCE_SPACE
 
 
+def _count_slots(state: AgentState) -> int:
+    return state.report.load.slots or DEFAULT_SLOTS
+
+
 def _is_full(state: AgentState) -> bool:
-    return state.working >= count_slots(state)
+    return state.working >= _count_slots(state)
 
 
 def _note_held(state: AgentState, packet: Packet) -> Note:
@@ -206,7 +210,7 @@
 def _forecast(state: AgentState, now: float) -> Forecast:
     return Forecast(
         now=now,
-        slots=count_slots(state),
+        slots=_count_slots(state),
         cold_until=state.cold_until,
         cold_service=estimate_service(state.health, cold=True),
         service=estimate_service(state.health, cold=False),
