--- a/shedsill/datagram/_runtime/http.py
+++ b/shedsill/datagram/_runtime/http.py
@@ -32,12 +32,17 @@
     body: bytes
 
 
+def _ignore_progress() -> None:
+    """Do nothing: no call is waiting."""
+
+
 class _ClientProtocol(asyncio.Protocol):
     """Parses answers of one connection, one at a time."""
 
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
         self.answer: asyncio.Future[Response] | None = None
+        self.note_progress: Callable[[], None] = _ignore_progress
         self.closed = False
         self._parser = httptools.HttpResponseParser(self)
         self._body = bytearray()
@@ -49,6 +54,7 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT)
 
     def data_received(self, data: bytes) -> None:
+        self.note_progress()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -95,13 +101,22 @@
     ) -> Response:
         """Carry out one call.
 
+        Parameters
+        ----------
+        timeout : float
+            Seconds to wait for the answer to begin, and for each further part of
+            it: a list of 0.3 MB takes a link of 5 Mbit/s longer than the store may
+            take to answer, and would never come if it had to come whole.
+
         Raises
         ------
         TimeoutError, OSError
             If there was no whole answer.
         """
-        async with asyncio.timeout(timeout):
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(timeout) as limit:
             connection = await self._get_connection()
+            connection.note_progress = lambda: limit.reschedule(loop.time() + timeout)
             done = False
             try:
                 response = await self._exchange(connection, method, target, body)
@@ -132,6 +147,7 @@
 
     def _put_back(self, connection: _ClientProtocol, *, usable: bool) -> None:
         connection.answer = None
+        connection.note_progress = _ignore_progress
         if usable and not connection.closed:
             self._idle.append(connection)
         elif connection.transport is not None:
