--- a/shedsill/datagram/_runtime/http.py
+++ b/shedsill/datagram/_runtime/http.py
@@ -25,6 +25,16 @@
 """Milliseconds without an acknowledgement after which the kernel gives up."""
 
 
+KEEPALIVE_IDLE = 1
+KEEPALIVE_INTERVAL = 1
+KEEPALIVE_PROBES = 2
+"""Seconds without traffic before the kernel probes the other end, seconds between
+probes, and probes without an answer after which the connection is given up.  A
+connection may go silent for good without a reset, and a watch waits for 25 s with
+nothing to send: it is noticed after 3 s, so that a change of the configuration that
+comes meanwhile is still read in time."""
+
+
 class Response(Struct, frozen=True, kw_only=True):
     """An HTTP answer."""
 
@@ -32,6 +42,18 @@
     body: bytes
 
 
+def _watch_connection(sock: socket.socket) -> None:
+    """Have the kernel end a connection whose other end is gone or silent."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_USER_TIMEOUT, USER_TIMEOUT),
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
 def _ignore_progress() -> None:
     """Do nothing: no call is waiting."""
 
@@ -50,8 +72,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        sock = transport.get_extra_info("socket")
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT)
+        _watch_connection(transport.get_extra_info("socket"))
 
     def data_received(self, data: bytes) -> None:
         self.note_progress()
@@ -188,6 +209,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        _watch_connection(transport.get_extra_info("socket"))
 
     def data_received(self, data: bytes) -> None:
         try:
--- a/shedsill/tests/test_datagram_http.py
+++ b/shedsill/tests/test_datagram_http.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
 
 from shedsill._addresses import Address
-from shedsill.datagram._runtime.http import HttpClient, Response
+from shedsill.datagram._runtime.http import HttpClient, Response, _ServerProtocol
 
 TIMEOUT = 0.4
 PARTS = 6
@@ -60,3 +61,39 @@
 def test_an_answer_that_does_not_begin_is_given_up() -> None:
     with pytest.raises(TimeoutError):
         asyncio.run(fetch(3 * TIMEOUT))
+
+
+KEEPALIVE = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT),
+)
+CONTACT_LIMIT = 4.0
+"""Seconds after which a calm node has to be in touch again, on the strictest
+deployment."""
+
+
+async def read_keepalive() -> list[list[int]]:
+    """Return the options of both ends of a connection."""
+    loop = asyncio.get_running_loop()
+    answer = Response(status=200, body=b"")
+    protocol = _ServerProtocol(lambda method, path, body: answer)
+    server = await loop.create_server(lambda: protocol, "127.0.0.1", 0)
+    client = HttpClient(Address("127.0.0.1", server.sockets[0].getsockname()[1]))
+    try:
+        await client.request("GET", "/", None, timeout=TIMEOUT)
+        ends = [protocol._transport, client._idle[0].transport]
+        sockets = [end.get_extra_info("socket") for end in ends if end is not None]
+        return [[sock.getsockopt(*option) for option in KEEPALIVE] for sock in sockets]
+    finally:
+        client.close()
+        server.close()
+
+
+def test_both_ends_notice_a_connection_that_goes_silent() -> None:
+    options = asyncio.run(read_keepalive())
+    assert len(options) == 2
+    for enabled, idle, interval, probes in options:
+        assert enabled
+        assert idle + interval * probes < CONTACT_LIMIT
