--- a/shedsill/datagram/_agent_packets.py
+++ b/shedsill/datagram/_agent_packets.py
@@ -143,6 +143,7 @@
     flow.initial_seq = packet.seq
     if repeated:
         return []
+    flow.taken_at = now
     taken = FlowTaken(
         flow=packet.flow,
         boot=state.report.boot,
--- a/shedsill/datagram/_agent_state.py
+++ b/shedsill/datagram/_agent_state.py
@@ -44,6 +44,8 @@
     ----------
     initial_seq : int or None
         The upstream's first sequence number; None until it has answered.
+    taken_at : float
+        When the upstream first answered its opening.
     caller_ack : int
         What the caller expects next.
     caller_end : int or None
@@ -65,6 +67,7 @@
     seen: float
     balancer: str
     initial_seq: int | None = None
+    taken_at: float = 0.0
     caller_ack: int = 0
     caller_end: int | None = None
     waiting: bool = False
--- a/shedsill/datagram/_slots.py
+++ b/shedsill/datagram/_slots.py
@@ -264,8 +264,10 @@
     return effects
 
 
-def clear(state: AgentState, now: float) -> None:
-    """Forget every request: the upstream's run has ended."""
-    state.backlog.held.clear()
-    state.working = 0
-    change_busy(state, -state.busy, now)
+def keep_requests(state: AgentState, now: float) -> None:
+    """Forget the requests of flows that are no longer known."""
+    held = state.backlog.held
+    state.backlog.held = {key: held[key] for key in held if key in state.flows}
+    state.working = sum(flow.working for flow in state.flows.values())
+    waiting = sum(flow.waiting for flow in state.flows.values())
+    change_busy(state, waiting - state.busy, now)
--- a/shedsill/datagram/_upstream.py
+++ b/shedsill/datagram/_upstream.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from msgspec.structs import replace
 
 from shedsill._catalogue import LogEvent
@@ -27,6 +29,12 @@
 FIRST_SERIAL = 1
 """Number of the first heartbeat of an upstream's run."""
 
+FIRST_HEARTBEAT_DELAY = 0.05
+"""Seconds before a run's first heartbeat in which a flow that was taken belongs to
+that run: it sends the heartbeat as it starts, 13 ms later where that was measured,
+and a restart takes longer than this.  A flow that was the last run's after all is
+bounced by the new one at its caller's next packet."""
+
 BOOT_SILENCE = 3.0
 """Seconds without a heartbeat of the run that is known before a later heartbeat of
 another run is believed: two heartbeats of 1.2 s and half of one have stayed out."""
@@ -113,7 +121,8 @@
     state.complete = True
     if state.report.state == UpstreamState.READY:
         note_crash(state.health, now)
-    return free_flows(state, "upstream restarted", now)
+    taken_by_last = now - FIRST_HEARTBEAT_DELAY if state.began_here else math.inf
+    return free_flows(state, "upstream restarted", now, taken_before=taken_by_last)
 
 
 def _retire_earlier(state: AgentState) -> None:
@@ -151,16 +160,26 @@
     return [Note(event=LogEvent.EARLIER_REPORT, fields=fields)]
 
 
-def free_flows(state: AgentState, reason: str, now: float) -> list[Effect]:
-    """Reset every open flow: the run of the upstream that held them has ended."""
+def free_flows(
+    state: AgentState, reason: str, now: float, *, taken_before: float = math.inf
+) -> list[Effect]:
+    """Reset the open flows of a run of the upstream that has ended.
+
+    Parameters
+    ----------
+    taken_before : float
+        Flows that were taken later are the new run's, and are kept.
+    """
     effects: list[Effect] = []
-    for key, flow in state.flows.items():
+    for key, flow in list(state.flows.items()):
+        if flow.taken_at >= taken_before:
+            continue
         if flow.phase == Phase.OPEN and not flow.closed:
             effects.append(ResetFlow(key, flow.caller_ack))
+        del state.flows[key]
     fields = {"flows": len(effects), "reason": reason, "boot": state.report.boot}
-    state.flows.clear()
     state.tried.clear()
-    _slots.clear(state, now)
+    _slots.keep_requests(state, now)
     return [*effects, Note(event=LogEvent.FLOWS_FREED, fields=fields)]
 
 
--- a/shedsill/tests/test_datagram_heartbeats.py
+++ b/shedsill/tests/test_datagram_heartbeats.py
@@ -108,3 +108,23 @@
     agent.report = replace(agent.report, state=UpstreamState.UNRESPONSIVE)
     beat(agent, "i-3", 2, 1.5)
     assert agent.report.boot == "i-3"
+
+
+def test_a_flow_that_a_new_run_took_before_its_first_heartbeat_is_kept(
+    agent: AgentState,
+) -> None:
+    """Found in a hunt: a flow was opened 13 ms after the run's start and reset by its
+    first heartbeat."""
+    agent.flows[b"new"] = AgentFlow(
+        phase=Phase.OPEN,
+        seen=2.0,
+        balancer="10.0.0.1",
+        taken_at=2.0,
+        waiting=True,
+        working=True,
+    )
+    agent.busy = agent.working = 1
+    effects = beat(agent, "i-3", FIRST_SERIAL, 2.013)
+    assert [e.flow for e in effects if isinstance(e, ResetFlow)] == [b"f"]
+    assert list(agent.flows) == [b"new"]
+    assert agent.busy == agent.working == 1
