--- a/shedsill/datagram/_locating.py
+++ b/shedsill/datagram/_locating.py
@@ -139,7 +139,15 @@
         return []
     del state.searches[flow]
     state.resets[flow] = search.seen
-    fields = {"flow": flow, "asked": len(state.nodes.upstreams), "tried": search.tried}
+    views = state.nodes.upstreams.values()
+    fields = {
+        "flow": flow,
+        "asked": len(views),
+        "tried": search.tried,
+        "after": round(search.seen - search.begun, 3),
+        "given_up": sum(view.lost for view in views),
+        "introduced": state.introduced,
+    }
     return [
         ResetFlow(flow, search.caller_ack),
         Note(event=LogEvent.FLOW_ORPHANED, fields=fields),
--- a/shedsill/datagram/_roster.py
+++ b/shedsill/datagram/_roster.py
@@ -230,8 +230,17 @@
     state: BalancerState, host: str, view: UpstreamView, now: float
 ) -> list[Effect]:
     """Free the callers of an agent that is silent: its VM is down or cut off."""
+    views = state.nodes.upstreams.values()
+    fields = {
+        "upstream": host,
+        "silent": round(now - (view.silent_since or now), 3),
+        "questions": view.questions,
+        "heard": round(now - view.heard, 3) if view.heard else None,
+        "others_silent": sum(v.silent_since is not None for v in views) - 1,
+        "known": len(views),
+        "up": round(now - state.started, 3),
+    }
     view.lost = True
     view.lost_at = now
-    fields = {"upstream": host, "silent": round(now - view.heard, 3)}
     note = Note(event=LogEvent.UPSTREAM_LOST, fields=fields)
     return [note, *_drop_agent(state, host, "agent is silent")]
--- a/shedsill/datagram/_runtime/balancer.py
+++ b/shedsill/datagram/_runtime/balancer.py
@@ -180,7 +180,10 @@
     def _answer_peer(self, method: str, path: str, body: bytes) -> Response:
         if path != TABLE_PATH or self._stored_table is None:
             return Response(status=HTTP_NOT_FOUND, body=b"{}")
-        return Response(status=HTTP_OK, body=msgspec.json.encode(self._stored_table))
+        content = msgspec.json.encode(self._stored_table)
+        fields = {"version": self.state.table.version, "octets": len(content)}
+        self.write_note(Note(event=LogEvent.TABLE_SENT, fields=fields))
+        return Response(status=HTTP_OK, body=content)
 
     async def _pull_table(self, host: str) -> None:
         client = HttpClient(Address(host, self.settings.messages.port))
