--- a/shedsill/datagram/_agent_packets.py
+++ b/shedsill/datagram/_agent_packets.py
@@ -17,6 +17,7 @@
 )
 from shedsill.datagram._effects import (
     Effect,
+    ResetFlow,
     SendMessage,
     SendToCaller,
     SendToUpstream,
@@ -165,7 +166,7 @@
         state.tried.pop(packet.flow, None)
         return effects
     if flow is None:
-        flow = AgentFlow(phase=Phase.OPEN, seen=now, balancer="")
+        flow = AgentFlow(phase=Phase.OPEN, seen=now, balancer="", taken_at=now)
         state.flows[packet.flow] = flow
         flow.caller_end = packet.ack
         effects += _report_found(state, packet.flow, now)
@@ -201,13 +202,25 @@
     return [note, SendMessage(balancer, located)]
 
 
+def _was_held(flow: AgentFlow) -> bool:
+    """Whether the upstream has held a flow that its caller opened there."""
+    return flow.phase == Phase.OPEN and flow.taken_at is not None
+
+
 def _take_bounced(state: AgentState, packet: Packet, now: float) -> list[Effect]:
-    """Hand back what the upstream did not take; it holds no such flow."""
+    """Hand back what the upstream did not take; it holds no such flow.
+
+    If the upstream held the flow before, no other one can: its caller is told.
+    """
     state.tried.pop(packet.flow, None)
     flow = state.flows.get(packet.flow)
     effects = _slots.drop_request(state, packet.flow, now)
     state.flows.pop(packet.flow, None)
     opening = is_opening(packet)
+    if flow is not None and not opening and _was_held(flow):
+        fields = {"flows": 1, "reason": "bounced", "boot": state.report.boot}
+        note = Note(event=LogEvent.FLOWS_FREED, fields=fields)
+        return [*effects, ResetFlow(packet.flow, flow.caller_ack), note]
     if opening:
         state.refusing_until = now + REFUSAL_PAUSE
     reason = ReturnReason.REFUSED if opening else ReturnReason.NOT_HELD
--- a/shedsill/datagram/_agent_state.py
+++ b/shedsill/datagram/_agent_state.py
@@ -44,8 +44,8 @@
     ----------
     initial_seq : int or None
         The upstream's first sequence number; None until it has answered.
-    taken_at : float
-        When the upstream first answered its opening.
+    taken_at : float or None
+        When the upstream was first seen to hold it.
     caller_ack : int
         What the caller expects next.
     caller_end : int or None
@@ -54,6 +54,8 @@
         Whether a request has come and no answer has begun.
     working : bool
         Whether the upstream was given that request.
+    last : Packet or None
+        The last packet of that request, while it is at work.
     closed : bool
         Whether one end has closed it.
     delay : float
@@ -67,11 +69,12 @@
     seen: float
     balancer: str
     initial_seq: int | None = None
-    taken_at: float = 0.0
+    taken_at: float | None = None
     caller_ack: int = 0
     caller_end: int | None = None
     waiting: bool = False
     working: bool = False
+    last: Packet | None = None
     waiting_since: float = 0.0
     working_since: float = 0.0
     delay: float = 0.0
--- a/shedsill/datagram/_balancer.py
+++ b/shedsill/datagram/_balancer.py
@@ -273,6 +273,7 @@
         elif flow.host and not flow.closed:
             holding.add(flow.host)
     state.holding_hosts = holding
+    _locating.ask_doubted(state)
     for key, at in list(state.resets.items()):
         if now - at > RESET_MEMORY:
             del state.resets[key]
--- a/shedsill/datagram/_balancer_state.py
+++ b/shedsill/datagram/_balancer_state.py
@@ -24,7 +24,10 @@
         The agent that holds it; empty until the caller has chosen one.
     boot : str
         The upstream's run when it took the flow, as its agent said; empty where
-        the agent did not know it yet.
+        the agent did not know it yet.  A run that has just begun takes flows before
+        its agent knows of it, so that the one named may be the last one.
+    doubted : bool
+        Whether its agent has told of another run since and is asked for it.
     boots : dict of str to str
         The same of each agent whose upstream has answered the opening packet.
     offered : dict of str to int or None
@@ -44,6 +47,7 @@
     seen: float
     host: str = ""
     boot: str = ""
+    doubted: bool = False
     offered: dict[str, int | None] = field(default_factory=dict)
     boots: dict[str, str] = field(default_factory=dict)
     refused: set[str] = field(default_factory=set)
--- a/shedsill/datagram/_locating.py
+++ b/shedsill/datagram/_locating.py
@@ -13,7 +13,12 @@
 from shedsill._catalogue import LogEvent
 from shedsill._shared_effects import Note
 from shedsill.datagram import _searches
-from shedsill.datagram._balancer_state import BalancerFlow, BalancerState, forward
+from shedsill.datagram._balancer_state import (
+    BalancerFlow,
+    BalancerState,
+    forward,
+    reset_flows,
+)
 from shedsill.datagram._effects import Effect, ResetFlow, SendMessage
 from shedsill.datagram._messages import Locate, Located, NodeReport
 from shedsill.datagram._packet import RST, Packet
@@ -24,6 +29,11 @@
 """Seconds in which other balancers tell a new one which nodes they know."""
 
 
+FLOWS_PER_QUESTION = 80
+"""Flows in one message; 14 octets each, so that question and answer fit a packet of
+1,200 octets however many flows are searched for after a restart."""
+
+
 def search(state: BalancerState, packet: Packet, now: float) -> list[Effect]:
     """Hold a packet of an unknown flow, and ask for the flow."""
     if packet.flags & RST:
@@ -85,7 +95,7 @@
     state: BalancerState, located: Located, host: str, now: float
 ) -> list[Effect]:
     """Take in what an agent says of the flows that it was asked for."""
-    effects: list[Effect] = []
+    effects = _settle_doubts(state, located, host)
     for flow in located.held:
         effects += _found(state, flow, host, located.boot, now)
     for flow in located.unknown:
@@ -102,6 +112,45 @@
     return effects
 
 
+def doubt_flows(state: BalancerState, report: NodeReport) -> None:
+    """Ask an agent for the flows that it named under another run of its upstream.
+
+    They died with that run, unless the new run took them before its agent knew of it.
+    The caller of a dead one may be waiting for an answer with nothing left to send,
+    so that no packet of its would tell it.
+    """
+    for key, flow in state.flows.items():
+        if flow.host == report.host and flow.boot not in ("", report.boot):
+            flow.doubted = True
+            _ask(state, key, (report.host,))
+
+
+def ask_doubted(state: BalancerState) -> None:
+    """Ask again for the flows whose agent has not answered."""
+    for key, flow in state.flows.items():
+        if flow.doubted:
+            _ask(state, key, (flow.host,))
+
+
+def _settle_doubts(state: BalancerState, located: Located, host: str) -> list[Effect]:
+    """Reset the doubted flows that their agent does not hold; keep the others.
+
+    No other agent can hold them: a flow stays where it was opened.
+    """
+    for key in (*located.held, *located.unsure):
+        flow = state.flows.get(key)
+        if flow is not None and flow.host == host:
+            flow.doubted = False
+            flow.boot = located.boot
+    dead = [key for key in located.unknown if _is_doubted(state, key, host)]
+    return reset_flows(state, dead, host, "upstream restarted")
+
+
+def _is_doubted(state: BalancerState, key: bytes, host: str) -> bool:
+    flow = state.flows.get(key)
+    return flow is not None and flow.doubted and flow.host == host
+
+
 def _found(
     state: BalancerState, flow: bytes, host: str, boot: str, now: float
 ) -> list[Effect]:
@@ -249,7 +298,11 @@
     if not state.to_locate:
         return []
     asked, state.to_locate = state.to_locate, {}
-    return [SendMessage(host, Locate(flows=flows)) for host, flows in asked.items()]
+    return [
+        SendMessage(host, Locate(flows=flows[start : start + FLOWS_PER_QUESTION]))
+        for host, flows in asked.items()
+        for start in range(0, len(flows), FLOWS_PER_QUESTION)
+    ]
 
 
 def add_host(state: BalancerState, host: str) -> None:
--- a/shedsill/datagram/_roster.py
+++ b/shedsill/datagram/_roster.py
@@ -35,12 +35,17 @@
     if report.host == state.report.host:
         return []
     before = _nodes.merge_report(state.nodes, report, now, direct=True)
-    effects = _note_report(state, report, before, now)
+    effects = _note_report(state, report, before)
     if report.role == Role.BALANCER:
         _note_version(state, report, now)
-    elif before is None or report.incarnation not in (
+        return effects
+    view = state.nodes.upstreams[report.host]
+    if report.boot and view.told_boot != report.boot:
+        view.told_boot = report.boot
+        _locating.doubt_flows(state, report)
+    if before is None or report.incarnation not in (
         before.incarnation,
-        state.nodes.upstreams[report.host].rumoured,
+        view.rumoured,
     ):
         effects += _relay(state, report)
     return effects
@@ -90,7 +95,7 @@
         if report.host == state.report.host:
             continue
         before = _nodes.merge_report(state.nodes, report, now, direct=False)
-        effects += _note_report(state, report, before, now)
+        effects += _note_report(state, report, before)
     return effects
 
 
@@ -98,9 +103,8 @@
     state: BalancerState,
     report: NodeReport,
     before: NodeReport | None,
-    now: float,
 ) -> list[Effect]:
-    """Log what has changed, and free the flows of a run that has ended."""
+    """Log what has changed, and ask a new agent for the flows searched for."""
     view = state.nodes.upstreams.get(report.host)
     if view is None or view.report is before:
         return []
@@ -121,25 +125,9 @@
     effects: list[Effect] = [Note(event=LogEvent.UPSTREAM_CHANGED, fields=fields)]
     if before is None:
         _locating.add_host(state, report.host)
-    if before is not None and report.boot and before.boot != report.boot:
-        effects += _free_flows(state, report.host, report.boot, now)
     return effects
 
 
-def _free_flows(state: BalancerState, host: str, boot: str, now: float) -> list[Effect]:
-    """Reset the flows that an earlier run of an upstream held.
-
-    They died with it.  Their callers may be waiting for an answer with nothing
-    left to send, so that no packet of theirs would tell them.
-    """
-    dead = [
-        key
-        for key, flow in state.flows.items()
-        if flow.host == host and flow.boot and flow.boot != boot
-    ]
-    return reset_flows(state, dead, host, "upstream restarted")
-
-
 def take_listed(state: BalancerState, event: ReportsListed) -> list[Effect]:
     """Take in the reports that the store holds."""
     effects = take_reports(state, event.reports, event.now)
--- a/shedsill/datagram/_selection.py
+++ b/shedsill/datagram/_selection.py
@@ -81,6 +81,8 @@
         The incarnation that the agent itself told last; 0 where it has not.
     rumoured : int
         Another incarnation that others have told of since.
+    told_boot : str
+        The upstream's run as the agent itself told it last; empty where it has not.
     """
 
     report: NodeReport
@@ -96,6 +98,7 @@
     lost_at: float = 0.0
     confirmed: int = 0
     rumoured: int = 0
+    told_boot: str = ""
 
 
 def number_service(service: str) -> int:
--- a/shedsill/datagram/_slots.py
+++ b/shedsill/datagram/_slots.py
@@ -92,6 +92,7 @@
 
 
 def _note_passed(flow: AgentFlow, packet: Packet) -> None:
+    flow.last = packet
     if _is_new(flow, packet):
         flow.caller_end = (packet.seq + packet.length) % SEQUENCE_SPACE
 
@@ -147,6 +148,7 @@
     if not flow.waiting or (answered and not flow.working):
         return []
     flow.waiting = False
+    flow.last = None
     change_busy(state, -1, now)
     effects: list[Effect] = []
     if answered:
@@ -264,10 +266,11 @@
     return effects
 
 
-def keep_requests(state: AgentState, now: float) -> None:
-    """Forget the requests of flows that are no longer known."""
+def keep_requests(state: AgentState, now: float) -> list[Effect]:
+    """Forget the requests of flows that are no longer known; fill their slots."""
     held = state.backlog.held
     state.backlog.held = {key: held[key] for key in held if key in state.flows}
     state.working = sum(flow.working for flow in state.flows.values())
     waiting = sum(flow.waiting for flow in state.flows.values())
     change_busy(state, waiting - state.busy, now)
+    return _pass_next(state, now)
--- a/shedsill/datagram/_upstream.py
+++ b/shedsill/datagram/_upstream.py
@@ -10,12 +10,18 @@
 from shedsill._shared_effects import Note
 from shedsill.datagram import _slots
 from shedsill.datagram._agent_state import (
+    AgentFlow,
     AgentState,
     Phase,
     publish,
     set_state,
 )
-from shedsill.datagram._effects import Effect, RemoveReport, ResetFlow
+from shedsill.datagram._effects import (
+    Effect,
+    RemoveReport,
+    ResetFlow,
+    SendToUpstream,
+)
 from shedsill.datagram._events import (
     EarlierReportRead,
     Heartbeat,
@@ -29,12 +35,6 @@
 FIRST_SERIAL = 1
 """Number of the first heartbeat of an upstream's run."""
 
-FIRST_HEARTBEAT_DELAY = 0.05
-"""Seconds before a run's first heartbeat in which a flow that was taken belongs to
-that run: it sends the heartbeat as it starts, 13 ms later where that was measured,
-and a restart takes longer than this.  A flow that was the last run's after all is
-bounced by the new one at its caller's next packet."""
-
 BOOT_SILENCE = 3.0
 """Seconds without a heartbeat of the run that is known before a later heartbeat of
 another run is believed: two heartbeats of 1.2 s and half of one have stayed out."""
@@ -109,8 +109,10 @@
     that it holds no flow from before the agent's start.
     """
     before = state.report.boot
+    alive_at = state.heartbeat_at
     state.report = replace(state.report, boot=heartbeat.boot)
     state.heartbeat_serial = 0
+    state.left = False
     state.began_here = heartbeat.serial == FIRST_SERIAL
     if state.began_here or state.earlier_boot not in ("", heartbeat.boot):
         state.complete = True
@@ -121,8 +123,24 @@
     state.complete = True
     if state.report.state == UpstreamState.READY:
         note_crash(state.health, now)
-    taken_by_last = now - FIRST_HEARTBEAT_DELAY if state.began_here else math.inf
-    return free_flows(state, "upstream restarted", now, taken_before=taken_by_last)
+    tries = _try_requests(state, alive_at)
+    effects = free_flows(state, "upstream restarted", now, taken_until=alive_at)
+    return effects + tries
+
+
+def _try_requests(state: AgentState, alive_at: float) -> list[Effect]:
+    """Have the new run tell which of the requests at work are its own.
+
+    A flow taken since the last run's last heartbeat may be of either run: a new run
+    takes flows before its first heartbeat has arrived.  A copy of the flow's last
+    packet does not harm a run that holds the flow, and is bounced by one that does
+    not, so that its caller is freed in milliseconds instead of at its deadline.
+    """
+    return [
+        SendToUpstream(flow.last, flow.balancer)
+        for flow in state.flows.values()
+        if flow.working and flow.last is not None and _was_taken(flow, alive_at)
+    ]
 
 
 def _retire_earlier(state: AgentState) -> None:
@@ -160,27 +178,32 @@
     return [Note(event=LogEvent.EARLIER_REPORT, fields=fields)]
 
 
+def _was_taken(flow: AgentFlow, since: float) -> bool:
+    return flow.taken_at is not None and flow.taken_at > since
+
+
 def free_flows(
-    state: AgentState, reason: str, now: float, *, taken_before: float = math.inf
+    state: AgentState, reason: str, now: float, *, taken_until: float = math.inf
 ) -> list[Effect]:
     """Reset the open flows of a run of the upstream that has ended.
 
     Parameters
     ----------
-    taken_before : float
-        Flows that were taken later are the new run's, and are kept.
+    taken_until : float
+        When the run that has ended was last known to be alive.  Flows taken later may
+        be the next run's and are kept; it bounces the packets of those it lacks.
     """
     effects: list[Effect] = []
     for key, flow in list(state.flows.items()):
-        if flow.taken_at >= taken_before:
+        if _was_taken(flow, taken_until):
             continue
         if flow.phase == Phase.OPEN and not flow.closed:
             effects.append(ResetFlow(key, flow.caller_ack))
         del state.flows[key]
     fields = {"flows": len(effects), "reason": reason, "boot": state.report.boot}
     state.tried.clear()
-    _slots.keep_requests(state, now)
-    return [*effects, Note(event=LogEvent.FLOWS_FREED, fields=fields)]
+    note = Note(event=LogEvent.FLOWS_FREED, fields=fields)
+    return [*effects, note, *_slots.keep_requests(state, now)]
 
 
 def take_leave(state: AgentState, event: UpstreamLeft) -> list[Effect]:
--- a/shedsill/tests/test_datagram_heartbeats.py
+++ b/shedsill/tests/test_datagram_heartbeats.py
@@ -6,7 +6,8 @@
 from msgspec.structs import replace
 
 from shedsill.datagram._agent_state import AgentFlow, AgentState, Phase
-from shedsill.datagram._effects import Effect, ResetFlow
+from shedsill.datagram._backlog import HeldRequest
+from shedsill.datagram._effects import Effect, ResetFlow, SendToUpstream
 from shedsill.datagram._events import EarlierReportRead, Heartbeat, HeartbeatReceived
 from shedsill.datagram._messages import UpstreamState
 from shedsill.datagram._upstream import (
@@ -16,8 +17,10 @@
     take_heartbeat,
 )
 from shedsill.testing.agents import make_agent_state
+from shedsill.testing.flow_peers import CODEC, make_packet
 
 SLOTS = 2
+CALLER, SERVICE = (0x64400007, 40_001), (0xC6120001, 443)
 
 
 @pytest.fixture
@@ -128,3 +131,23 @@
     assert [e.flow for e in effects if isinstance(e, ResetFlow)] == [b"f"]
     assert list(agent.flows) == [b"new"]
     assert agent.busy == agent.working == 1
+
+
+def test_requests_held_for_a_new_run_get_the_slots_of_the_last_one(
+    agent: AgentState,
+) -> None:
+    """Nothing else would pass them on: no request of the new run ends."""
+    packet = CODEC.decode_caller(make_packet(CALLER, SERVICE, 0, content=b"x"))
+    assert packet is not None
+    dead = agent.flows[b"f"]
+    dead.waiting = dead.working = True
+    agent.flows[packet.flow] = AgentFlow(
+        phase=Phase.OPEN, seen=1.5, balancer="10.0.0.1", taken_at=1.5, waiting=True
+    )
+    agent.backlog.held[packet.flow] = HeldRequest(
+        packets=[packet], since=1.5, asked=1.5, urgency=0, wanted_by=9.0, deadline=9.0
+    )
+    agent.busy, agent.working = 2, 1
+    effects = beat(agent, "i-3", FIRST_SERIAL, 2.0)
+    assert [e.packet for e in effects if isinstance(e, SendToUpstream)] == [packet]
+    assert agent.busy == agent.working == 1
