--- a/shedsill/testing/datagrams.py
+++ b/shedsill/testing/datagrams.py
@@ -77,7 +77,15 @@
 
 @define(eq=False)
 class World:
-    """Everything, and the queue of what is under way."""
+    """Everything, and the queue of what is under way.
+
+    Attributes
+    ----------
+    cut : set of str
+        Hosts that nothing reaches and that reach nothing.
+    is_lost : callable
+        Whether the next datagram from a source to a host is lost.
+    """
 
     services: tuple[str, ...]
     now: float = 1000.0
@@ -89,6 +97,7 @@
     store_up: bool = True
     first_beat: float = LATENCY
     cut: set[str] = field(factory=set)
+    is_lost: Callable[[str, str], bool] = field(default=lambda source, host: False)
     table: ForwardingTable = field(factory=ForwardingTable)
     notes: list[tuple[str, Note]] = field(factory=list)
     messages: collections.Counter = field(factory=collections.Counter)
@@ -317,6 +326,8 @@
         """Deliver an event over the network, where nothing is cut."""
         if host in self.cut or (source in self.cut and source != host):
             return
+        if self.is_lost(source, host):
+            return
         self._schedule(LATENCY, lambda: self._dispatch(host, make()))
 
     def _tick(self, host: str, state: BalancerState | AgentState) -> None:
