--- a/shedsill/_catalogue.py
+++ b/shedsill/_catalogue.py
@@ -125,6 +125,9 @@
     BALANCER_ISOLATED = Entry(
         625, Level.WARNING, "cut off from most agents, or no longer"
     )
+    SILENCE_RESTARTED = Entry(
+        629, Level.INFO, "late answer: other agents' silence counts anew"
+    )
     EARLIER_REPORT = Entry(626, Level.INFO, "report of an earlier run read")
     TABLE_APPLIED = Entry(630, Level.INFO, "forwarding table in force")
     TABLE_REJECTED = Entry(631, Level.ERROR, "forwarding table cannot be read")
--- a/shedsill/datagram/_balancer.py
+++ b/shedsill/datagram/_balancer.py
@@ -125,6 +125,17 @@
     returned : Packet or None
         The packet inside a `PacketReturned`.
     """
+    view = state.nodes.upstreams.get(event.source)
+    if view is None or view.silent_since is None:
+        return _take_message(state, event, returned)
+    before = replace(view)
+    effects = _take_message(state, event, returned)
+    return effects + _roster.note_return(state, before, event.now)
+
+
+def _take_message(
+    state: BalancerState, event: MessageReceived, returned: Packet | None
+) -> list[Effect]:
     message, source, now = event.message, event.source, event.now
     match message:
         case Announcement(report=report):
--- a/shedsill/datagram/_nodes.py
+++ b/shedsill/datagram/_nodes.py
@@ -39,6 +39,11 @@
 LOST_QUESTIONS = 3
 """Questions that must have gone unanswered by then; datagrams may be lost."""
 
+LATE_QUESTIONS = 2
+"""Unanswered questions from which on an agent counts as silent: one datagram may be
+lost, and the second question follows after 0.15 s, longer than a VM out of processor
+quota stands still."""
+
 ISOLATION_SHARE = 0.5
 """Share of silent agents from which on the silence is put down to this balancer's
 own VM or link; a balancer that is cut off or choked hears from none."""
@@ -214,7 +219,7 @@
         view.silent_since = now
     view.asked = now
     view.questions += 1
-    if view.questions > 1:
+    if view.questions >= LATE_QUESTIONS:
         view.suspect = True
 
 
@@ -236,7 +241,7 @@
 
 
 def is_isolated(
-    views: Iterable[UpstreamView], now: float, *, questions: int = 2
+    views: Iterable[UpstreamView], now: float, *, questions: int = LATE_QUESTIONS
 ) -> bool:
     """Whether so many agents are silent that it must be this balancer's doing.
 
@@ -263,6 +268,33 @@
             del nodes.retired[incarnation]
 
 
+def restart_silences(views: Iterable[UpstreamView], now: float) -> int:
+    """Count the silence of agents anew: messages to or from this balancer were lost.
+
+    An agent is given up only after a time in which this balancer would have heard it
+    if it lived.  After a sign that this was not so, that time begins again; giving a
+    dead agent up takes up to `LOST_AFTER` longer then.
+
+    Returns
+    -------
+    int
+        The agents that are silent.
+    """
+    silent = [v for v in views if v.silent_since is not None and not v.lost]
+    for view in silent:
+        view.silent_since = now
+    return len(silent)
+
+
+def is_late_answer(before: UpstreamView, after: UpstreamView) -> bool:
+    """Whether an agent that has just spoken shows that questions were lost.
+
+    One that was restarted, or had said that it stops, was away itself.
+    """
+    away = before.report.incarnation != after.report.incarnation
+    return before.questions >= LATE_QUESTIONS and not (away or before.report.stopping)
+
+
 def shift_silences(views: Iterable[UpstreamView], pause: float) -> None:
     """Take back the silence that was this node's own: it did not run meanwhile."""
     for view in views:
--- a/shedsill/datagram/_roster.py
+++ b/shedsill/datagram/_roster.py
@@ -194,14 +194,38 @@
             _nodes.note_asked(view, now)
             effects.append(SendMessage(host, probe))
     effects += _note_isolation(state, now)
-    lost = [h for h, v in state.nodes.upstreams.items() if _nodes.is_lost(v, now)]
-    if not lost or _nodes.is_isolated(views, now):
+    if _nodes.is_isolated(views, now):
+        _nodes.restart_silences(views, now)
         return effects
+    lost = [h for h, v in state.nodes.upstreams.items() if _nodes.is_lost(v, now)]
     for host in lost:
         effects += _give_up_agent(state, host, state.nodes.upstreams[host], now)
     return effects
 
 
+def note_return(state: BalancerState, before: UpstreamView, now: float) -> list[Effect]:
+    """Draw conclusions from the word of an agent that was silent.
+
+    Parameters
+    ----------
+    before : UpstreamView
+        What was known of it before it spoke.
+    """
+    host = before.report.host
+    view = state.nodes.upstreams.get(host)
+    if view is None or view.silent_since is not None:
+        return []
+    if before.lost:
+        _locating.add_host(state, host)
+    if not _nodes.is_late_answer(before, view):
+        return []
+    silent = _nodes.restart_silences(state.nodes.upstreams.values(), now)
+    if not silent:
+        return []
+    fields = {"upstream": host, "questions": before.questions, "silent": silent}
+    return [Note(event=LogEvent.SILENCE_RESTARTED, fields=fields)]
+
+
 def _note_isolation(state: BalancerState, now: float) -> list[Effect]:
     """Note that this balancer has been cut off from most agents, or no longer is."""
     views = state.nodes.upstreams.values()
