--- a/shedsill/_catalogue.py
+++ b/shedsill/_catalogue.py
@@ -132,6 +132,7 @@
     TABLE_APPLIED = Entry(630, Level.INFO, "forwarding table in force")
     TABLE_REJECTED = Entry(631, Level.ERROR, "forwarding table cannot be read")
     TABLE_SENT = Entry(634, Level.INFO, "forwarding table sent to a balancer")
+    TABLE_NOT_READ = Entry(635, Level.INFO, "no table from another balancer")
     SETTINGS_READ = Entry(632, Level.INFO, "settings read again")
     SETTINGS_REJECTED = Entry(633, Level.ERROR, "changed settings are not allowed")
     MESSAGE_REFUSED = Entry(640, Level.WARNING, "message from a node cannot be read")
--- a/shedsill/datagram/_runtime/balancer.py
+++ b/shedsill/datagram/_runtime/balancer.py
@@ -4,8 +4,6 @@
 
 import asyncio
 
-import msgspec
-
 from shedsill._addresses import Address
 from shedsill._catalogue import LogEvent
 from shedsill._shared_effects import Note
@@ -30,10 +28,12 @@
 from shedsill.datagram._runtime.node import (
     HTTP_NOT_FOUND,
     HTTP_OK,
+    HTTP_UNAVAILABLE,
     Node,
     draw_incarnation,
 )
 from shedsill.datagram._runtime.reports import REPORT_KIND
+from shedsill.datagram._runtime.tables import TableShelf, unpack_table
 from shedsill.datagram.adapter import (
     NodeSettings,
     PacketCodec,
@@ -42,7 +42,9 @@
 )
 from shedsill.errors import DecodeError
 
-TABLE_PATH = "/table"
+TABLE_PATH = "/table/deflate"
+"""Where balancers read the table from each other; see `_runtime.tables`."""
+
 PULL_TIMEOUT = 1.0
 """Seconds for reading the table from another balancer."""
 
@@ -78,7 +80,7 @@
             state, settings=settings, source=source, codec=codec, platform=platform
         )
         self._table_source = table
-        self._stored_table: object = None
+        self._shelf = TableShelf()
         self._pulling = False
         self._packets = self.open_datagrams(settings.packets, self._take_packet)
 
@@ -174,13 +176,15 @@
             self.write_note(Note(event=LogEvent.TABLE_REJECTED, fields=fields))
             return
         if table.version > self.state.table.version:
-            self._stored_table = value
+            self._shelf.put(value)
         self.dispatch(TableOffered(table=table, source=source, now=self.now))
 
     def _answer_peer(self, method: str, path: str, body: bytes) -> Response:
-        if path != TABLE_PATH or self._stored_table is None:
+        if path != TABLE_PATH or self._shelf.is_empty:
             return Response(status=HTTP_NOT_FOUND, body=b"{}")
-        content = msgspec.json.encode(self._stored_table)
+        content = self._shelf.take(self.now)
+        if content is None:
+            return Response(status=HTTP_UNAVAILABLE, body=b"{}")
         fields = {"version": self.state.table.version, "octets": len(content)}
         self.write_note(Note(event=LogEvent.TABLE_SENT, fields=fields))
         return Response(status=HTTP_OK, body=content)
@@ -192,14 +196,19 @@
                 "GET", TABLE_PATH, None, timeout=PULL_TIMEOUT
             )
             if response.status == HTTP_OK:
-                self._offer_table(msgspec.json.decode(response.body), host)
-        except (TimeoutError, OSError, msgspec.DecodeError) as error:
-            fields = {"source": host, "error": repr(error)}
-            self.write_note(Note(event=LogEvent.TABLE_REJECTED, fields=fields))
+                self._offer_table(unpack_table(response.body), host)
+            else:
+                self._note_not_read(host, f"status {response.status}")
+        except (TimeoutError, OSError, DecodeError) as error:
+            self._note_not_read(host, repr(error))
         finally:
             self._pulling = False
             client.close()
 
+    def _note_not_read(self, host: str, reason: str) -> None:
+        fields = {"source": host, "reason": reason}
+        self.write_note(Note(event=LogEvent.TABLE_NOT_READ, fields=fields))
+
     # Reports of nodes
 
     async def _watch_reports(self) -> None:
