--- /dev/null
+++ b/shedsill/tests/test_datagram_unheard.py
@@ -0,0 +1,133 @@
+"""What a balancer has not heard is unknown to it, not gone.
+
+Found by looking for the cause that `test_datagram_deafness.py` tells of in every
+decision to reset a flow: each test is a message that did not come, and a flow that
+lives all the same.
+"""
+
+from __future__ import annotations
+
+import pytest
+from msgspec.structs import replace
+
+from shedsill._catalogue import LogEvent
+from shedsill.datagram._events import ReportsListed
+from shedsill.datagram._nodes import LOST_AFTER
+from shedsill.testing.datagrams import World
+from shedsill.testing.flow_peers import Caller
+
+B1, B2, B3 = "10.0.0.1", "10.0.0.2", "10.0.0.3"
+A1, A2, A3 = "10.1.0.1", "10.1.0.2", "10.1.0.3"
+LONG = 40
+
+
+@pytest.fixture
+def world() -> World:
+    """Two balancers and three upstreams, known to each other for long."""
+    world = World(services=("dispatcher", "intake"))
+    for host in (A1, A2, A3):
+        world.add_agent(host, "dispatcher", first=True)
+    world.add_agent("10.2.0.1", "intake", first=True)
+    for host in (B1, B2):
+        world.add_balancer(host)
+    world.run(3.0)
+    return world
+
+
+def open_flow(world: World, balancer: str = B1, service: str = "dispatcher") -> Caller:
+    caller = world.call(service, balancer, requests=LONG)
+    world.run(0.05)
+    assert caller.open
+    return caller
+
+
+def lose_between(world: World, *pairs: tuple[str, str]) -> None:
+    """Lose every message between two nodes, for each pair."""
+    lost = {frozenset(pair) for pair in pairs}
+    world.is_lost = lambda source, host: frozenset((source, host)) in lost
+
+
+def test_an_agent_that_was_given_up_is_asked_once_it_speaks(world: World) -> None:
+    """A search that began without it must not end in a reset."""
+    caller = open_flow(world, B2)
+    holder = world.find_holder(caller)
+    other = next(host for host in (A1, A2, A3) if host != holder)
+    world.kill(B1)
+    lose_between(world, (holder, B1))
+    world.add_balancer(B1)
+    world.run(2.0)
+    assert world.nodes[B1].nodes.upstreams[holder].lost
+    lose_between(world, (holder, B1), (other, B1))
+    world.routers[caller.flow] = B1
+    world.run(0.4)
+    lose_between(world, (other, B1))
+    world.run(LOST_AFTER - 0.45)
+    lose_between(world)
+    world.run(1.0)
+    assert not world.resets
+
+
+def test_a_deleted_report_of_a_silent_agent_ends_no_flow(world: World) -> None:
+    """Another balancer, which did not hear the agent, may have deleted it."""
+    caller = open_flow(world)
+    holder = world.find_holder(caller)
+    lose_between(world, (holder, B1))
+    world.run(LOST_AFTER - 0.1)
+    removed = ReportsListed(reports=(), removed=(holder,), now=world.now)
+    world._dispatch(B1, removed)
+    world.run(0.05)
+    lose_between(world)
+    world.run(2.0)
+    assert not world.resets
+
+
+def test_an_introduction_that_was_lost_is_asked_for_again(world: World) -> None:
+    """The store does not have an agent that only the other balancers know."""
+    caller = open_flow(world)
+    holder = world.find_holder(caller)
+    del world.stored[holder]
+    lose_between(world, (B3, B1), (B3, B2))
+    world.add_balancer(B3)
+    world.routers[caller.flow] = B3
+    world.run(0.7)
+    lose_between(world)
+    world.run(2.0)
+    assert not world.resets
+
+
+def test_a_route_that_only_a_newer_table_has_is_waited_for(world: World) -> None:
+    """Routers move a flow of a new route to a balancer that has yet to read it."""
+    world.change_table(world.make_table(2, without="intake"), (B1, B2))
+    world.run(0.1)
+    world.change_table(world.make_table(3), (B1,))
+    world.run(0.1)
+    caller = open_flow(world, B1, "intake")
+    world.routers[caller.flow] = B2
+    caller.send_request()
+    world.run(2.0)
+    assert not world.resets
+    assert not caller.outcome and caller.answers > 1
+
+
+def test_a_report_from_the_store_ends_no_flow(world: World) -> None:
+    """It may be of an earlier run: the store was away when the last one began."""
+    caller = open_flow(world)
+    holder = world.find_holder(caller)
+    report = world.nodes[B1].nodes.upstreams[holder].report
+    lose_between(world, (holder, B1))
+    world.run(0.7)
+    incarnation = report.incarnation + 10_000
+    old = replace(report, incarnation=incarnation, serial=9, boot="i-earlier")
+    world._dispatch(B1, ReportsListed(reports=(old,), now=world.now))
+    world.run(0.1)
+    lose_between(world)
+    world.run(2.0)
+    assert not world.resets
+
+
+def test_the_log_tells_no_age_of_what_was_never_heard(world: World) -> None:
+    lose_between(world, (A1, B3))
+    world.add_balancer(B3)
+    world.run(2.0)
+    notes = [n for host, n in world.notes if n.event == LogEvent.UPSTREAM_LOST]
+    assert [note.fields["heard"] for note in notes] == [None]
