--- a/shedsill/_catalogue.py
+++ b/shedsill/_catalogue.py
@@ -133,6 +133,7 @@
     TABLE_REJECTED = Entry(631, Level.ERROR, "forwarding table cannot be read")
     TABLE_SENT = Entry(634, Level.INFO, "forwarding table sent to a balancer")
     TABLE_NOT_READ = Entry(635, Level.INFO, "no table from another balancer")
+    TABLE_AWAITED = Entry(636, Level.INFO, "packet dropped until a newer table is read")
     SETTINGS_READ = Entry(632, Level.INFO, "settings read again")
     SETTINGS_REJECTED = Entry(633, Level.ERROR, "changed settings are not allowed")
     MESSAGE_REFUSED = Entry(640, Level.WARNING, "message from a node cannot be read")
--- a/shedsill/datagram/_balancer.py
+++ b/shedsill/datagram/_balancer.py
@@ -101,9 +101,12 @@
 def _refuse_without_route(state: BalancerState, packet: Packet) -> list[Effect]:
     if state.table.version == 0 or packet.flags & RST:
         return []
+    fields = {"flow": packet.flow, "table": state.table.version}
+    if state.ahead and not is_opening(packet):
+        # The newer table may have the route; the caller sends again in 0.2 s.
+        return [Note(event=LogEvent.TABLE_AWAITED, fields=fields)]
     state.flows.pop(packet.flow, None)
     state.placing.pop(packet.flow, None)
-    fields = {"flow": packet.flow, "table": state.table.version}
     return [
         ResetFlow(packet.flow, packet.ack),
         Note(event=LogEvent.FLOW_UNROUTED, fields=fields),
@@ -262,6 +265,7 @@
     effects += _locating.ask_searched(state, now)
     effects += _look_after_flows(state, now)
     effects += _roster.ask_silent(state, now)
+    effects += _roster.introduce(state, now)
     effects += _roster.pull_table(state, now)
     effects += _roster.forget_lost(state, now)
     effects += _exchange_with_peers(state, now)
--- a/shedsill/datagram/_balancer_state.py
+++ b/shedsill/datagram/_balancer_state.py
@@ -73,6 +73,10 @@
         Whether this balancer hears from so few agents that it is to blame.
     introduced : bool
         Whether another balancer has told which nodes it knows.
+    introductions : int
+        How often others were asked for that, and
+    next_introduction : float
+        when they are next.
     ahead : dict of str to str
         Balancers that have a newer table, with their availability zones.
     behind_since : float
@@ -95,6 +99,8 @@
     started: float = 0.0
     isolated: bool = False
     introduced: bool = False
+    introductions: int = 0
+    next_introduction: float = 0.0
     ahead: dict[str, str] = field(default_factory=dict)
     behind_since: float = 0.0
     resets: dict[bytes, float] = field(default_factory=dict)
--- a/shedsill/datagram/_locating.py
+++ b/shedsill/datagram/_locating.py
@@ -12,7 +12,7 @@
 
 from shedsill._catalogue import LogEvent
 from shedsill._shared_effects import Note
-from shedsill.datagram import _searches
+from shedsill.datagram import _nodes, _searches
 from shedsill.datagram._balancer_state import (
     BalancerFlow,
     BalancerState,
@@ -25,10 +25,6 @@
 from shedsill.datagram._searches import Phase, Search
 from shedsill.datagram._selection import prefer_hosts
 
-INTRODUCTION_LIMIT = 0.5
-"""Seconds in which other balancers tell a new one which nodes they know."""
-
-
 FLOWS_PER_QUESTION = 80
 """Flows in one message; 14 octets each, so that question and answer fit a packet of
 1,200 octets however many flows are searched for after a restart."""
@@ -240,7 +236,7 @@
     if not nodes.upstreams or not (nodes.listed or state.introduced):
         return False
     alone = not nodes.balancers
-    late = now - state.started > INTRODUCTION_LIMIT
+    late = now - state.started > _nodes.INTRODUCTION_LIMIT
     return state.introduced or alone or late
 
 
--- a/shedsill/datagram/_nodes.py
+++ b/shedsill/datagram/_nodes.py
@@ -52,6 +52,11 @@
 """Unanswered questions (0.45 s) to most agents after which a balancer asks the
 routers for no more packets; others of the zone or the next one reach the agents."""
 
+INTRODUCTION_LIMIT = LOST_AFTER
+"""Seconds in which a new balancer asks others which nodes they know.  It resets no
+flow that its agents deny before one has told, or before this time has passed where
+none answers: as long as an agent may be silent before it is given up."""
+
 RETIRED_MEMORY = 600.0
 """Seconds for which an ended incarnation is remembered; no report of it can be
 under way or come from the store any more."""
--- a/shedsill/datagram/_roster.py
+++ b/shedsill/datagram/_roster.py
@@ -15,11 +15,17 @@
     SendMessage,
 )
 from shedsill.datagram._events import ReportsListed
-from shedsill.datagram._messages import NodeReport, Probe, Role, Roster
+from shedsill.datagram._messages import (
+    NodeReport,
+    Probe,
+    Role,
+    Roster,
+    UpstreamState,
+)
 from shedsill.datagram._selection import UpstreamView
 
 INTRODUCTIONS = 3
-"""Other balancers that one asks for the nodes they know when it starts."""
+"""Other balancers that one asks at a time for the nodes they know when it starts."""
 
 PULL_AFTER = 0.4
 """Seconds that a balancer waits for the store to bring a table that others have.
@@ -133,23 +139,43 @@
     effects = take_reports(state, event.reports, event.now)
     for host in event.removed:
         view = state.nodes.upstreams.get(host)
-        if view is not None and (view.suspect or view.lost):
+        if view is not None and _has_left(view):
             effects += _forget_upstream(state, host)
         state.nodes.balancers.pop(host, None)
     if event.whole and not state.nodes.listed:
         state.nodes.listed = True
-        effects += _introduce(state)
+        effects += introduce(state, event.now)
     return effects
 
 
-def _introduce(state: BalancerState) -> list[Effect]:
-    """Ask a few other balancers for the nodes that they know.
+def _has_left(view: UpstreamView) -> bool:
+    """Whether an agent whose report was deleted is gone.
+
+    It deletes its report itself when its upstream leaves, and tells so.  Another
+    balancer may have deleted it after a time in which it did not hear the agent; such
+    an agent is asked, and given up as any other that is silent.
+    """
+    told = view.suspect and view.report.state == UpstreamState.GONE
+    return view.lost or told
+
+
+def introduce(state: BalancerState, now: float) -> list[Effect]:
+    """Ask a few other balancers for the nodes that they know, until one has told.
 
     Agents that the store turns away are known to balancers that they have
     spoken with, but not from the store.
     """
-    others = sorted(state.nodes.balancers)[:INTRODUCTIONS]
-    return [SendMessage(host, Probe(report=state.report)) for host in others]
+    wanted = state.nodes.listed and not state.introduced
+    if not wanted or now < state.next_introduction:
+        return []
+    if now - state.started > _nodes.INTRODUCTION_LIMIT:
+        return []
+    state.next_introduction = now + _nodes.ASK_INTERVAL
+    others = sorted(state.nodes.balancers)
+    first = state.introductions * INTRODUCTIONS % max(len(others), 1)
+    state.introductions += 1
+    chosen = (others[first:] + others[:first])[:INTRODUCTIONS]
+    return [SendMessage(host, Probe(report=state.report)) for host in chosen]
 
 
 def forget_lost(state: BalancerState, now: float) -> list[Effect]:
