--- a/shedsill/datagram/_runtime/http.py
+++ b/shedsill/datagram/_runtime/http.py
@@ -7,13 +7,13 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections.abc import Callable
 
 import httptools
 from msgspec import Struct
 
 from shedsill._addresses import Address
+from shedsill._connections import watch_connection
 
 CONNECT_TIMEOUT = 1.0
 """Seconds for a connection; a VM behind a cut does not answer at all."""
@@ -21,19 +21,6 @@
 MAX_BODY = 8 * 1024 * 1024
 """Octets of one body that are read; lists hold about 1 MB."""
 
-USER_TIMEOUT = 2_000
-"""Milliseconds without an acknowledgement after which the kernel gives up."""
-
-
-KEEPALIVE_IDLE = 1
-KEEPALIVE_INTERVAL = 1
-KEEPALIVE_PROBES = 2
-"""Seconds without traffic before the kernel probes the other end, seconds between
-probes, and probes without an answer after which the connection is given up.  A
-connection may go silent for good without a reset, and a watch waits for 25 s with
-nothing to send: it is noticed after 3 s, so that a change of the configuration that
-comes meanwhile is still read in time."""
-
 
 class Response(Struct, frozen=True, kw_only=True):
     """An HTTP answer."""
@@ -42,18 +29,6 @@
     body: bytes
 
 
-def _watch_connection(sock: socket.socket) -> None:
-    """Have the kernel end a connection whose other end is gone or silent."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, value in (
-        (socket.TCP_USER_TIMEOUT, USER_TIMEOUT),
-        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE),
-        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL),
-        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-    ):
-        sock.setsockopt(socket.IPPROTO_TCP, option, value)
-
-
 def _ignore_progress() -> None:
     """Do nothing: no call is waiting."""
 
@@ -72,7 +47,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        _watch_connection(transport.get_extra_info("socket"))
+        watch_connection(transport.get_extra_info("socket"))
 
     def data_received(self, data: bytes) -> None:
         self.note_progress()
@@ -209,7 +184,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        _watch_connection(transport.get_extra_info("socket"))
+        watch_connection(transport.get_extra_info("socket"))
 
     def data_received(self, data: bytes) -> None:
         try:
--- a/shedsill/http3/_runtime/driver.py
+++ b/shedsill/http3/_runtime/driver.py
@@ -38,10 +38,13 @@
 from shedsill.http3._frames import Heartbeat, decode_frame, encode_frame
 from shedsill.http3._keys import KeyRing, open_envelope
 from shedsill.http3._reducer import reduce
+from shedsill.http3._runtime.connections import make_connector, make_limit
 from shedsill.http3._runtime.notes import Notebook
 
 TICK_INTERVAL = 0.05
 PEER_TIMEOUT = 2.0
+"""Seconds for another node's answer to begin, and for each further part of it."""
+
 SOCKET_BUFFER = 4 * 1024 * 1024
 _State = TypeVar("_State")
 
@@ -108,7 +111,7 @@
         """Open the frame socket."""
         loop = asyncio.get_running_loop()
         self.http = aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(total=PEER_TIMEOUT)
+            connector=make_connector(), timeout=make_limit(PEER_TIMEOUT)
         )
         address = self.node_state.node.address
         self._transport, _protocol = await loop.create_datagram_endpoint(
--- a/shedsill/http3/_runtime/platform.py
+++ b/shedsill/http3/_runtime/platform.py
@@ -25,6 +25,7 @@
     Unavailable,
     Watch,
 )
+from shedsill.http3._runtime.connections import make_connector, make_limit
 
 CALL_TIMEOUT = 2.0
 HTTP_OK = 200
@@ -40,7 +41,8 @@
     url : str
         Root of the API, without a slash at the end.
     timeout : float
-        Seconds for one call; a watch has its patience on top.
+        Seconds for an answer to begin and for each further part of it; a watch has
+        its patience on top.
     """
 
     def __init__(self, url: str, *, timeout: float = CALL_TIMEOUT) -> None:
@@ -124,8 +126,8 @@
         self, method: str, path: str, *, timeout: float | None = None, **options: Any
     ) -> dict[str, Any]:
         if self._session is None:
-            self._session = aiohttp.ClientSession()
-        limit = aiohttp.ClientTimeout(total=timeout or self.timeout)
+            self._session = aiohttp.ClientSession(connector=make_connector())
+        limit = make_limit(timeout or self.timeout)
         async with self._session.request(
             method, self.url + path, timeout=limit, **options
         ) as response:
--- a/shedsill/http3/_runtime/upstream.py
+++ b/shedsill/http3/_runtime/upstream.py
@@ -11,6 +11,7 @@
 
 from shedsill.http3._answers import Header, RecordedAnswer
 from shedsill.http3._outcomes import MAX_RECORDED_BODY
+from shedsill.http3._runtime.connections import make_connector
 from shedsill.http3._runtime.exchange import (
     HOP_BY_HOP,
     Exchange,
@@ -88,7 +89,7 @@
 
     async def start(self) -> None:
         """Open the client session."""
-        connector = aiohttp.TCPConnector(force_close=True, limit=0)
+        connector = make_connector(force_close=True, limit=0)
         self._session = aiohttp.ClientSession(
             connector=connector,
             auto_decompress=False,
