--- a/properties/soak.py
+++ b/properties/soak.py
@@ -48,9 +48,14 @@
 """Share of flows that the routers soon send to another balancer."""
 PLANNED_ONLY = 3
 """Each seed that this divides has planned steps only."""
+DEAF_RUNS, DEAF_REST = 5, 3
+"""Each seed with this rest has balancers that hear little; no VM counts as disturbed by
+that, since what a balancer does not hear must end no flow."""
+DEAF_TIME = (1.0, 4.0)
 FLAPS = 3
 NODE = ("shedsill.platform",)
 WEAK_LINK = LinkFault(delay=0.02, jitter=0.1, loss=0.1, copies=0.2)
+DEAF_LINK = LinkFault(loss=0.5)
 CUT = LinkFault(cut=True)
 RECOVERY_TIME = 6.0
 FINAL_CALLS = 24
@@ -136,8 +141,10 @@
         )
         if self.seed % PLANNED_ONLY == 0:
             return planned
+        deaf = (self._deafen_balancer,) * 4
         return (
             *planned,
+            *(deaf if self.seed % DEAF_RUNS == DEAF_REST else ()),
             self._kill,
             self._freeze,
             self._crash_upstream,
@@ -248,6 +255,18 @@
         links = [link for o in others for link in ((host, o), (o, host))]
         await self._break_links(links, WEAK_LINK, span)
 
+    async def _deafen_balancer(
+        self, host: str, span: float, draw: random.Random
+    ) -> None:
+        """Lose half of what goes between a balancer and the agents."""
+        host = draw.choice(self.balancers)
+        faults = self._get_links().faults
+        links = [link for a in self.agents for link in ((host, a), (a, host))]
+        faults.update(dict.fromkeys(links, DEAF_LINK))
+        await asyncio.sleep(draw.uniform(*DEAF_TIME))
+        for link in links:
+            faults.pop(link, None)
+
     async def _break_links(
         self, links: list[tuple[str, str]], fault: LinkFault, span: float
     ) -> None:
--- a/properties/test_datagram_world.py
+++ b/properties/test_datagram_world.py
@@ -9,6 +9,8 @@
 
 from __future__ import annotations
 
+import random
+
 from hypothesis import Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
@@ -108,6 +110,30 @@
         self.world.start_upstream(host, AGENTS[host])
         self.world._send_beat(host)
 
+    @rule(host=agents, delay=st.floats(0.0, 1.0))
+    def restart_upstream_unseen(self, host: str, delay: float) -> None:
+        """The new run takes flows before its first heartbeat arrives."""
+        self.world.crash_upstream(host)
+        self.world.run(RESTART_TIME)
+        self.world.start_upstream(host, AGENTS[host])
+        for balancer in BALANCERS:
+            self.world.call(AGENTS[host], balancer, requests=LONG_REQUESTS)
+        self.world.run(delay)
+        self.world._send_beat(host)
+
+    @rule(host=balancers, seconds=st.floats(0.1, 5.0), seed=st.integers(0, 99))
+    def deafen_balancer(self, host: str, seconds: float, seed: int) -> None:
+        """Lose most of what it sends and is sent, then less and less of it."""
+        generator = random.Random(seed)
+        for loss in (1.0, 0.6, 0.3):
+            self.world.is_lost = lambda source, to, loss=loss: (
+                host in (source, to)
+                and source != "caller"
+                and generator.random() < loss
+            )
+            self.world.run(seconds / 3)
+        self.world.is_lost = lambda source, to: False
+
     @rule(host=agents, state=st.sampled_from(UpstreamState))
     def change_state(self, host: str, state: UpstreamState) -> None:
         if state in (UpstreamState.READY, UpstreamState.DRAINING):
