--- a/shedsill/tests/test_datagram_deafness.py
+++ b/shedsill/tests/test_datagram_deafness.py
@@ -110,3 +110,27 @@
     world.cut.discard(B1)
     world.run(LOST_AFTER + 0.7)
     assert callers[0].outcome == "reset"
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_the_last_agent_heard_of_after_deafness_is_not_given_up(seed: int) -> None:
+    """Found by random series: the others had just answered in time by luck."""
+    world = World(services=("dispatcher",))
+    for host in AGENTS[:5]:
+        world.add_agent(host, "dispatcher", first=True)
+    for host in (B1, B2):
+        world.add_balancer(host)
+    world.run(3.0)
+    for _ in range(10):
+        world.call("dispatcher", B1, requests=LONG)
+        world.run(0.05)
+    restart_balancer(world, B1)
+    draw = random.Random(seed)
+    for loss in (1.0, 0.6, 0.3):
+        world.is_lost = lambda source, host, loss=loss: (
+            B1 in (source, host) and source != "caller" and draw.random() < loss
+        )
+        world.run(1.5)
+    world.is_lost = lambda source, host: False
+    world.run(2.0)
+    assert not world.resets
--- a/shedsill/tests/test_datagram_unheard.py
+++ b/shedsill/tests/test_datagram_unheard.py
@@ -131,3 +131,43 @@
     world.run(2.0)
     notes = [n for host, n in world.notes if n.event == LogEvent.UPSTREAM_LOST]
     assert [note.fields["heard"] for note in notes] == [None]
+
+
+def test_an_agent_that_returns_by_the_store_is_asked_too(world: World) -> None:
+    """Found by random series: it was restarted after it had been given up."""
+    caller = open_flow(world, B2)
+    holder = world.find_holder(caller)
+    other = next(host for host in (A1, A2, A3) if host != holder)
+    world.kill(B1)
+    lose_between(world, (holder, B1))
+    world.add_balancer(B1)
+    world.run(2.0)
+    assert world.nodes[B1].nodes.upstreams[holder].lost
+    lose_between(world, (holder, B1), (other, B1))
+    world.routers[caller.flow] = B1
+    caller.send_request()
+    world.run(0.1)
+    world.kill(holder)
+    world.add_agent(holder, "dispatcher")
+    world.run(0.01)
+    lose_between(world, (holder, B1))
+    world.run(0.3)
+    lose_between(world)
+    world.run(1.0)
+    assert not world.resets
+
+
+def test_an_agent_that_a_new_balancer_has_yet_to_hear_may_be_restarting(
+    world: World,
+) -> None:
+    """Found by random series; a restart takes 0.6 s on a usual VM."""
+    caller = open_flow(world, B2)
+    holder = world.find_holder(caller)
+    world.kill(holder)
+    world.kill(B1)
+    world.add_balancer(B1)
+    world.routers[caller.flow] = B1
+    world.run(0.6)
+    world.add_agent(holder, "dispatcher")
+    world.run(1.0)
+    assert not world.resets
