--- a/shedsill/datagram/_roster.py
+++ b/shedsill/datagram/_roster.py
@@ -100,8 +100,12 @@
     for report in reports:
         if report.host == state.report.host:
             continue
+        known = state.nodes.upstreams.get(report.host)
+        was_lost = known is not None and known.lost
         before = _nodes.merge_report(state.nodes, report, now, direct=False)
         effects += _note_report(state, report, before)
+        if was_lost and known is not None and not known.lost:
+            _locating.add_host(state, report.host)
     return effects
 
 
@@ -223,7 +227,12 @@
     if _nodes.is_isolated(views, now):
         _nodes.restart_silences(views, now)
         return effects
-    lost = [h for h, v in state.nodes.upstreams.items() if _nodes.is_lost(v, now)]
+    lossy = _nodes.is_lossy(state.nodes, now)
+    lost = [
+        host
+        for host, view in state.nodes.upstreams.items()
+        if _nodes.is_lost(view, now, lossy=lossy)
+    ]
     for host in lost:
         effects += _give_up_agent(state, host, state.nodes.upstreams[host], now)
     return effects
@@ -245,6 +254,7 @@
         _locating.add_host(state, host)
     if not _nodes.is_late_answer(before, view):
         return []
+    state.nodes.late[host] = now
     silent = _nodes.restart_silences(state.nodes.upstreams.values(), now)
     if not silent:
         return []
