--- a/shedsill/http3/_acceptance.py
+++ b/shedsill/http3/_acceptance.py
@@ -41,7 +41,12 @@
     is_newer,
 )
 from shedsill.http3._effects import CallPlatform, Effect, Note
-from shedsill.http3._node import CONFIGURATION_KIND, CONFIGURATION_NAME, Node
+from shedsill.http3._node import (
+    CONFIGURATION_KIND,
+    CONFIGURATION_NAME,
+    Node,
+    is_forgotten,
+)
 from shedsill.http3._purposes import Purpose
 from shedsill.http3._resources import (
     KINDS,
@@ -266,7 +271,7 @@
         services=tuple(services),
         sets=tuple(sets),
         changes=tuple(changes),
-        drained=_find_drained(acceptor, node, listing, base),
+        drained=_find_drained(acceptor, node, listing, base, now),
         leaving=acceptor.leaving | _find_leaving(listing),
         invalid=tuple(invalid),
     )
@@ -293,7 +298,11 @@
 
 
 def _find_drained(
-    acceptor: Acceptor, node: Node, listing: Listing, base: Configuration
+    acceptor: Acceptor,
+    node: Node,
+    listing: Listing,
+    base: Configuration,
+    now: float,
 ) -> frozenset[int]:
     """Return upstreams taken out of their set on which no flow can be left.
 
@@ -311,7 +320,7 @@
         if upstream.state != UpstreamState.DRAINING:
             continue
         listed = not acceptor.present or upstream.name in acceptor.present
-        dead = not listed and upstream.name not in node.membership.members
+        dead = not listed and is_forgotten(node, upstream.name, now)
         if upstream.number in reported or dead:
             drained.add(upstream.number)
     return frozenset(drained)
--- a/shedsill/http3/_node.py
+++ b/shedsill/http3/_node.py
@@ -9,6 +9,7 @@
 from shedsill._addresses import Address
 from shedsill._catalogue import LogEvent
 from shedsill.coordination.membership import (
+    FORGET_AFTER,
     SILENT_AFTER,
     Membership,
     choose_peers,
@@ -61,6 +62,9 @@
     next_read : float
         Local time of the next read of the accepted configuration, while there
         is none.
+    listening_since : float or None
+        Since when, at each beat, some other node had been heard of lately; None
+        where none was at the last one.
     stopping : bool
         Whether a planned stop has begun.
     """
@@ -76,6 +80,7 @@
     beat: int = 0
     next_beat: float = 0.0
     next_read: float = 0.0
+    listening_since: float | None = None
     stopping: bool = False
 
 
@@ -153,6 +158,7 @@
         beat=node.beat + 1,
         next_beat=now + BEAT_INTERVAL,
         membership=forget_silent(node.membership, now),
+        listening_since=_find_listening_since(node, now),
     )
     peers = choose_peers(list_peers(node, now), node.address, seed)
     frame = make_heartbeat(node, vitals, now=now, seed=seed)
@@ -163,6 +169,22 @@
     return node, silent + effects
 
 
+def _find_listening_since(node: Node, now: float) -> float | None:
+    if not list_live(node.membership, now):
+        return None
+    return now if node.listening_since is None else node.listening_since
+
+
+def is_forgotten(node: Node, name: str, now: float) -> bool:
+    """Whether a member was not heard of by any node for a minute.
+
+    A node that has just started, or has heard nobody itself, cannot tell.
+    """
+    if name in node.membership.members or node.listening_since is None:
+        return False
+    return now - node.listening_since > FORGET_AFTER
+
+
 def _find_silent(node: Node, now: float) -> list[Effect]:
     """Note members whose silence became known since the last beat."""
     return [
