--- a/shedsill/datagram/_agent.py
+++ b/shedsill/datagram/_agent.py
@@ -30,6 +30,7 @@
     Roster,
     UpstreamState,
 )
+from shedsill.datagram._pauses import measure_pause
 from shedsill.datagram._upstream import wants_check
 
 CLOSED_LINGER = 3.0
@@ -53,7 +54,7 @@
     A report of an earlier run of this agent may still be in the store and stays
     good if the upstream lives.  A VM without an upstream is not made known.
     """
-    state.started = state.average_at = now
+    state.started = state.average_at = state.last_tick = now
 
 
 def take_message(state: AgentState, event: MessageReceived) -> list[Effect]:
@@ -96,6 +97,10 @@
     """Do what has become due."""
     now = event.now
     effects: list[Effect] = []
+    pause = measure_pause(state.last_tick, now)
+    state.last_tick = now
+    if pause:
+        _excuse_pause(state, pause, now)
     if now >= state.next_sweep:
         state.next_sweep = now + SWEEP_INTERVAL
         effects += _sweep(state, now)
@@ -107,6 +112,20 @@
     return effects + _finish_stop(state, now)
 
 
+def _excuse_pause(state: AgentState, pause: float, now: float) -> None:
+    """Take no caller, upstream or request for silent while this agent stood still.
+
+    Times are moved on by the pause, but not beyond now: some may be of packets that
+    were read since.
+    """
+    state.beatless_since = min(state.beatless_since + pause, now)
+    if state.owed_since is not None:
+        state.owed_since = min(state.owed_since + pause, now)
+    for flow in state.flows.values():
+        flow.seen = min(flow.seen + pause, now)
+        flow.working_since = min(flow.working_since + pause, now)
+
+
 def _sweep(state: AgentState, now: float) -> list[Effect]:
     """Forget flows that have rested for too long."""
     effects: list[Effect] = []
--- a/shedsill/datagram/_balancer.py
+++ b/shedsill/datagram/_balancer.py
@@ -38,6 +38,7 @@
     Roster,
 )
 from shedsill.datagram._packet import FIN, RST, Packet, is_opening
+from shedsill.datagram._pauses import measure_pause
 
 RESET_MEMORY = 2.0
 """Seconds for which a reset flow is remembered, so that its packets that are
@@ -47,9 +48,6 @@
 """Seconds for which a flow is remembered after its caller has closed it; its
 last packets may be sent again."""
 
-PAUSE = 0.3
-"""A gap between ticks (s) that shows that this process did not run."""
-
 STOP_QUIET = 1.0
 """Seconds without packets from callers after which a planned stop ends."""
 
@@ -257,9 +255,9 @@
 def take_tick(state: BalancerState, event: Tick) -> list[Effect]:
     """Do what has become due."""
     now = event.now
-    pause = now - state.last_tick
+    pause = measure_pause(state.last_tick, now)
     state.last_tick = now
-    if pause > PAUSE:
+    if pause:
         _nodes.shift_silences(state.nodes.upstreams.values(), pause)
     effects = _openings.offer_again(state, now)
     effects += _locating.ask_searched(state, now)
--- a/shedsill/tests/test_datagram_pauses.py
+++ b/shedsill/tests/test_datagram_pauses.py
@@ -80,3 +80,19 @@
     assert agent.working == 0
     beat(agent, "i-3", 9, now)
     assert agent.report.boot == "i-3"
+
+
+def test_a_flow_taken_by_a_new_run_after_a_pause_is_not_the_last_run_s(
+    agent: AgentState,
+) -> None:
+    """The pause moves no time on by which flows are told apart."""
+    agent.flows[b"new"] = AgentFlow(
+        phase=Phase.OPEN,
+        seen=10.01 + FROZEN,
+        balancer="10.0.0.1",
+        taken_at=10.01 + FROZEN,
+    )
+    reduce(agent, Tick(now=10.02 + FROZEN))
+    effects = beat(agent, "i-3", 1, 10.03 + FROZEN)
+    resets = {effect.flow for effect in effects if isinstance(effect, ResetFlow)}
+    assert resets == {b"at work", b"held"}
