--- /dev/null
+++ b/shedsill/tests/test_datagram_bounds.py
@@ -0,0 +1,72 @@
+"""The delays of nodes, added up against the bounds of the strictest deployment.
+
+`docs/platform.md` tells which bound rests on which delays.  A constant that is raised
+past one of them fails here.
+"""
+
+from __future__ import annotations
+
+from shedsill._connections import (
+    KEEPALIVE_IDLE,
+    KEEPALIVE_INTERVAL,
+    KEEPALIVE_PROBES,
+    USER_TIMEOUT,
+)
+from shedsill.datagram._nodes import LOST_AFTER
+from shedsill.datagram._roster import PULL_AFTER
+from shedsill.datagram._runtime import balancer, reports
+from shedsill.datagram._runtime.node import TICK_INTERVAL
+from shedsill.datagram._runtime.tables import TABLE_RATE, pack_table
+from shedsill.platform.store import CALL_TIMEOUT
+from shedsill.tests.test_datagram_tables import make_table
+
+CONTACT = 4.0
+"""Seconds after the end of trouble from which on a calm VM must be in touch."""
+CONFIGURATION = 3.0
+"""Seconds after a confirmation in which a configuration must be in force."""
+REPORT_BACK = 2.0
+"""Seconds after an outage in which the report of a living node must be back."""
+THIN_LINK = 5_000_000 / 8
+"""Octets a second of the thinnest link."""
+LARGE_TABLE = 2_154
+"""Routes of the largest table described."""
+ROUTE_OCTETS = 156
+"""Of one route as the store sends it: 255,475 octets for 1,646."""
+STORE_ANSWER = 0.3
+"""Seconds in which a slow store answers."""
+
+NOTICE = KEEPALIVE_IDLE + KEEPALIVE_INTERVAL * KEEPALIVE_PROBES
+TRANSFER = LARGE_TABLE * ROUTE_OCTETS / THIN_LINK
+
+
+def test_a_watch_on_a_silent_connection_reads_the_change_in_time() -> None:
+    delay = NOTICE + balancer.RETRY.first + TRANSFER
+    assert delay < CONTACT
+
+
+def test_a_call_on_a_silent_connection_is_given_up_in_time() -> None:
+    delay = max(USER_TIMEOUT / 1000, CALL_TIMEOUT) + balancer.RETRY.first + TRANSFER
+    assert delay < CONTACT
+
+
+def test_a_change_made_in_an_outage_is_read_in_time_after_it() -> None:
+    delay = CALL_TIMEOUT + balancer.RETRY.longest + STORE_ANSWER + TRANSFER
+    assert delay < CONFIGURATION
+
+
+def test_a_report_is_back_in_time_after_an_outage() -> None:
+    delay = CALL_TIMEOUT + reports.RETRY.longest + STORE_ANSWER
+    assert delay <= REPORT_BACK + STORE_ANSWER
+
+
+def test_a_table_comes_from_another_balancer_in_time() -> None:
+    """The first reader waits and reads; later ones find more that have it."""
+    content = len(pack_table(make_table(LARGE_TABLE)))
+    delay = PULL_AFTER + TICK_INTERVAL + content / THIN_LINK
+    queue = content / TABLE_RATE
+    assert delay + queue < CONFIGURATION / 2
+
+
+def test_an_agent_is_given_up_before_its_callers_give_up() -> None:
+    """The shortest deadline of a request is 2 s; a second try needs some of it."""
+    assert LOST_AFTER <= 2.0 / 2
