--- a/shedsill/datagram/_agent.py
+++ b/shedsill/datagram/_agent.py
@@ -100,7 +100,7 @@
     pause = measure_pause(state.last_tick, now)
     state.last_tick = now
     if pause:
-        _excuse_pause(state, pause, now)
+        _discount_pause(state, pause, now)
     if now >= state.next_sweep:
         state.next_sweep = now + SWEEP_INTERVAL
         effects += _sweep(state, now)
@@ -112,13 +112,13 @@
     return effects + _finish_stop(state, now)
 
 
-def _excuse_pause(state: AgentState, pause: float, now: float) -> None:
+def _discount_pause(state: AgentState, pause: float, now: float) -> None:
     """Take no caller, upstream or request for silent while this agent stood still.
 
     Times are moved on by the pause, but not beyond now: some may be of packets that
     were read since.
     """
-    state.beatless_since = min(state.beatless_since + pause, now)
+    state.heartbeat_missing_since = min(state.heartbeat_missing_since + pause, now)
     if state.owed_since is not None:
         state.owed_since = min(state.owed_since + pause, now)
     for flow in state.flows.values():
--- a/shedsill/datagram/_agent_state.py
+++ b/shedsill/datagram/_agent_state.py
@@ -110,7 +110,7 @@
         Serial of the current run's last heartbeat, and
     heartbeat_at : float
         when it came.
-    beatless_since : float
+    heartbeat_missing_since : float
         The same, moved on by the time for which this agent stood still since.
     began_here : bool
         Whether the current run was known from its first heartbeat on.
@@ -134,7 +134,7 @@
     retired: set[str] = field(default_factory=set)
     heartbeat_serial: int = 0
     heartbeat_at: float = 0.0
-    beatless_since: float = 0.0
+    heartbeat_missing_since: float = 0.0
     began_here: bool = False
     cold_until: float = 0.0
     busy: int = 0
--- a/shedsill/datagram/_runtime/balancer.py
+++ b/shedsill/datagram/_runtime/balancer.py
@@ -33,7 +33,7 @@
     draw_incarnation,
 )
 from shedsill.datagram._runtime.reports import REPORT_KIND
-from shedsill.datagram._runtime.tables import TableShelf, unpack_table
+from shedsill.datagram._runtime.tables import ServedTable, unpack_table
 from shedsill.datagram.adapter import (
     NodeSettings,
     PacketCodec,
@@ -80,7 +80,7 @@
             state, settings=settings, source=source, codec=codec, platform=platform
         )
         self._table_source = table
-        self._shelf = TableShelf()
+        self._served = ServedTable()
         self._pulling = False
         self._packets = self.open_datagrams(settings.packets, self._take_packet)
 
@@ -176,13 +176,13 @@
             self.write_note(Note(event=LogEvent.TABLE_REJECTED, fields=fields))
             return
         if table.version > self.state.table.version:
-            self._shelf.put(value)
+            self._served.put(value)
         self.dispatch(TableOffered(table=table, source=source, now=self.now))
 
     def _answer_peer(self, method: str, path: str, body: bytes) -> Response:
-        if path != TABLE_PATH or self._shelf.is_empty:
+        if path != TABLE_PATH or self._served.is_empty:
             return Response(status=HTTP_NOT_FOUND, body=b"{}")
-        content = self._shelf.take(self.now)
+        content = self._served.take(self.now)
         if content is None:
             return Response(status=HTTP_UNAVAILABLE, body=b"{}")
         fields = {"version": self.state.table.version, "octets": len(content)}
--- a/shedsill/datagram/_runtime/tables.py
+++ b/shedsill/datagram/_runtime/tables.py
@@ -53,7 +53,7 @@
         raise DecodeError(f"not a table: {error}") from error
 
 
-class TableShelf:
+class ServedTable:
     """The newest table, ready to be sent to other balancers.
 
     Attributes
--- a/shedsill/datagram/_upstream.py
+++ b/shedsill/datagram/_upstream.py
@@ -60,7 +60,7 @@
     elif heartbeat.serial <= state.heartbeat_serial:
         return []
     state.heartbeat_serial = heartbeat.serial
-    state.heartbeat_at = state.beatless_since = now
+    state.heartbeat_at = state.heartbeat_missing_since = now
     state.cold_until = now + heartbeat.cold
     changed = (heartbeat.boot, heartbeat.state, heartbeat.slots) != (
         report.boot,
@@ -90,7 +90,7 @@
     if report.boot in ("", heartbeat.boot) or heartbeat.serial == FIRST_SERIAL:
         return False
     alive = report.state in (UpstreamState.READY, UpstreamState.DRAINING)
-    return alive and now - state.beatless_since < BOOT_SILENCE
+    return alive and now - state.heartbeat_missing_since < BOOT_SILENCE
 
 
 def _note_outdated(state: AgentState, heartbeat: Heartbeat) -> Note:
--- /dev/null
+++ b/shedsill/testing/slow_server.py
@@ -0,0 +1,49 @@
+"""An HTTP server whose answers come in parts with pauses between them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+__all__ = ["serve_parts"]
+
+
+@asynccontextmanager
+async def serve_parts(
+    parts: list[bytes], *, pause: float, sent: int | None = None, head: str = ""
+) -> AsyncIterator[int]:
+    """Answer each connection's one call with some parts; yield the port.
+
+    Parameters
+    ----------
+    pause : float
+        Seconds before each part.
+    sent : int or None
+        How many of the parts that the head announces are sent; None for all.
+    head : str
+        Further lines of the answer's head, each with its line end.
+    """
+
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        length = sum(map(len, parts))
+        writer.write(
+            f"HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n{head}\r\n".encode()
+        )
+        for part in parts[:sent]:
+            await asyncio.sleep(pause)
+            writer.write(part)
+            await writer.drain()
+        await ended.wait()
+        writer.close()
+
+    ended = asyncio.Event()
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    try:
+        yield server.sockets[0].getsockname()[1]
+    finally:
+        ended.set()
+        server.close()
--- a/shedsill/tests/test_connections.py
+++ b/shedsill/tests/test_connections.py
@@ -21,6 +21,7 @@
 from shedsill.coordination.platform import List, Listing, Unavailable
 from shedsill.http3._runtime.platform import HttpPlatform
 from shedsill.http3._runtime.upstream import UpstreamClient
+from shedsill.testing.slow_server import serve_parts
 
 TIMEOUT = 0.4
 CONTENT = json.dumps({"items": [], "revision": 7, "padding": "x" * 60}).encode()
@@ -34,29 +35,11 @@
 ) -> object:
     """Answer each call in parts with pauses between them, the last ones never."""
 
-    async def answer(
-        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        await reader.readuntil(b"\r\n\r\n")
-        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(CONTENT)}\r\n"
-        head += "Connection: close\r\nContent-Type: application/json\r\n\r\n"
-        writer.write(head.encode())
-        step = len(CONTENT) // PARTS + 1
-        for number in range(parts):
-            await asyncio.sleep(pause)
-            writer.write(CONTENT[number * step : (number + 1) * step])
-            await writer.drain()
-        await ended.wait()
-        writer.close()
-
-    ended = asyncio.Event()
-    server = await asyncio.start_server(answer, "127.0.0.1", 0)
-    port = server.sockets[0].getsockname()[1]
-    try:
+    step = len(CONTENT) // PARTS + 1
+    content = [CONTENT[start : start + step] for start in range(0, len(CONTENT), step)]
+    head = "Connection: close\r\nContent-Type: application/json\r\n"
+    async with serve_parts(content, pause=pause, sent=parts, head=head) as port:
         return await use(f"http://127.0.0.1:{port}")
-    finally:
-        ended.set()
-        server.close()
 
 
 async def list_resources(url: str) -> object:
--- a/shedsill/tests/test_datagram_http.py
+++ b/shedsill/tests/test_datagram_http.py
@@ -9,6 +9,7 @@
 
 from shedsill._addresses import Address
 from shedsill.datagram._runtime.http import HttpClient, Response, _ServerProtocol
+from shedsill.testing.slow_server import serve_parts
 
 TIMEOUT = 0.4
 PARTS = 6
@@ -21,29 +22,12 @@
     Of `PARTS` parts that the head announces, only `parts` are sent.
     """
 
-    async def answer(
-        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        await reader.readuntil(b"\r\n\r\n")
-        length = PARTS * len(BODY)
-        writer.write(f"HTTP/1.1 200 -\r\nContent-Length: {length}\r\n\r\n".encode())
-        for _ in range(parts):
-            await asyncio.sleep(pause)
-            writer.write(BODY)
-            await writer.drain()
-        await ended.wait()
-        writer.close()
-
-    ended = asyncio.Event()
-    server = await asyncio.start_server(answer, "127.0.0.1", 0)
-    port = server.sockets[0].getsockname()[1]
-    client = HttpClient(Address("127.0.0.1", port))
-    try:
-        return await client.request("GET", "/", None, timeout=TIMEOUT)
-    finally:
-        ended.set()
-        client.close()
-        server.close()
+    async with serve_parts([BODY] * PARTS, pause=pause, sent=parts) as port:
+        client = HttpClient(Address("127.0.0.1", port))
+        try:
+            return await client.request("GET", "/", None, timeout=TIMEOUT)
+        finally:
+            client.close()
 
 
 def test_an_answer_that_keeps_coming_is_waited_for() -> None:
--- a/shedsill/tests/test_datagram_tables.py
+++ b/shedsill/tests/test_datagram_tables.py
@@ -15,7 +15,7 @@
 from shedsill.datagram._runtime.http import MAX_BODY
 from shedsill.datagram._runtime.tables import (
     TABLE_RATE,
-    TableShelf,
+    ServedTable,
     pack_table,
     unpack_table,
 )
@@ -55,33 +55,33 @@
 
 def test_many_readers_leave_a_thin_link_to_the_small_messages() -> None:
     """Seen: 22 readers within 1.1 s, 5.6 MB, and no answer of an agent for 5 s."""
-    shelf = TableShelf()
-    shelf.put(make_table(ROUTES))
-    answers = [shelf.take(0.05 * number) for number in range(READERS)]
+    served = ServedTable()
+    served.put(make_table(ROUTES))
+    answers = [served.take(0.05 * number) for number in range(READERS)]
     sent = sum(len(octets) for octets in answers if octets)
     assert sent / THIN_LINK < DEAF_LIMIT
     assert sent / (0.05 * READERS) < 2 * TABLE_RATE
 
 
 def test_all_get_the_table_in_the_end() -> None:
-    shelf = TableShelf()
+    served = ServedTable()
     value = make_table(ROUTES)
-    shelf.put(value)
-    first = shelf.take(10.0)
+    served.put(value)
+    first = served.take(10.0)
     assert first is not None
-    assert shelf.take(10.0) is None
-    assert shelf.take(10.0 + len(first) / TABLE_RATE) == first
+    assert served.take(10.0) is None
+    assert served.take(10.0 + len(first) / TABLE_RATE) == first
     assert unpack_table(first) == value
 
 
 def test_a_newer_table_takes_the_place_of_the_packed_one() -> None:
-    shelf = TableShelf()
-    assert shelf.is_empty
-    shelf.put({"version": 1})
-    shelf.take(0.0)
-    shelf.put({"version": 2})
-    assert unpack_table(shelf.take(1.0) or b"") == {"version": 2}
-    assert not shelf.is_empty
+    served = ServedTable()
+    assert served.is_empty
+    served.put({"version": 1})
+    served.take(0.0)
+    served.put({"version": 2})
+    assert unpack_table(served.take(1.0) or b"") == {"version": 2}
+    assert not served.is_empty
 
 
 @pytest.mark.parametrize(
--- a/shedsill/tests/test_datagram_unheard.py
+++ b/shedsill/tests/test_datagram_unheard.py
@@ -47,8 +47,15 @@
     world.is_lost = lambda source, host: frozenset((source, host)) in lost
 
 
-def test_an_agent_that_was_given_up_is_asked_once_it_speaks(world: World) -> None:
-    """A search that began without it must not end in a reset."""
+def search_without_holder(world: World) -> tuple[Caller, str, str]:
+    """Have a new balancer give a flow's agent up, and then be sent the flow.
+
+    Returns
+    -------
+    tuple of Caller, str and str
+        The caller, its agent, and another one that the balancer does not hear either,
+        so that its search for the flow goes on.
+    """
     caller = open_flow(world, B2)
     holder = world.find_holder(caller)
     other = next(host for host in (A1, A2, A3) if host != holder)
@@ -59,6 +66,12 @@
     assert world.nodes[B1].nodes.upstreams[holder].lost
     lose_between(world, (holder, B1), (other, B1))
     world.routers[caller.flow] = B1
+    return caller, holder, other
+
+
+def test_an_agent_that_was_given_up_is_asked_once_it_speaks(world: World) -> None:
+    """A search that began without it must not end in a reset."""
+    _caller, _holder, other = search_without_holder(world)
     world.run(0.4)
     lose_between(world, (other, B1))
     world.run(LOST_AFTER - 0.45)
@@ -135,16 +148,7 @@
 
 def test_an_agent_that_returns_by_the_store_is_asked_too(world: World) -> None:
     """Found by random series: it was restarted after it had been given up."""
-    caller = open_flow(world, B2)
-    holder = world.find_holder(caller)
-    other = next(host for host in (A1, A2, A3) if host != holder)
-    world.kill(B1)
-    lose_between(world, (holder, B1))
-    world.add_balancer(B1)
-    world.run(2.0)
-    assert world.nodes[B1].nodes.upstreams[holder].lost
-    lose_between(world, (holder, B1), (other, B1))
-    world.routers[caller.flow] = B1
+    caller, holder, other = search_without_holder(world)
     caller.send_request()
     world.run(0.1)
     world.kill(holder)
