--- a/shedsill/tests/test_datagram_unheard.py
+++ b/shedsill/tests/test_datagram_unheard.py
@@ -12,6 +12,7 @@
 
 from shedsill._catalogue import LogEvent
 from shedsill.datagram._events import ReportsListed
+from shedsill.datagram._messages import Announcement
 from shedsill.datagram._nodes import LOST_AFTER
 from shedsill.testing.datagrams import World
 from shedsill.testing.flow_peers import Caller
@@ -175,3 +176,43 @@
     world.add_agent(holder, "dispatcher")
     world.run(1.0)
     assert not world.resets
+
+
+def test_a_new_agent_makes_itself_known_though_its_first_news_is_lost(
+    world: World,
+) -> None:
+    """The store turns it away, so that only its own news can tell of it."""
+    world.store_up = False
+    host = "10.1.0.4"
+    lose_between(world, (host, B1), (host, B2))
+    state = world.add_agent(host, "dispatcher", first=True)
+    state.seeds = (B1, B2)
+    world.run(0.3)
+    lose_between(world)
+    world.run(1.0)
+    assert host in world.nodes[B1].nodes.upstreams
+    assert host in world.nodes[B2].nodes.upstreams
+
+
+def test_an_agent_that_is_known_does_not_repeat_its_news(world: World) -> None:
+    state = world.add_agent("10.1.0.4", "dispatcher", first=True)
+    state.seeds = (B1, B2)
+    world.run(1.0)
+    sent = world.count_messages(Announcement)
+    world.run(1.0)
+    probes = 2  # balancers tell each other their versions, once a second each
+    assert world.count_messages(Announcement) - sent <= 2 * probes
+
+
+def test_a_balancer_that_starts_in_an_outage_keeps_asking_its_seeds(
+    world: World,
+) -> None:
+    world.store_up = False
+    lose_between(world, (B3, B1), (B3, B2))
+    state = world.add_balancer(B3)
+    state.seeds = (B1, B2)
+    world.run(2.0)
+    lose_between(world)
+    world.run(1.5)
+    assert state.introduced
+    assert set(state.nodes.upstreams) == {A1, A2, A3, "10.2.0.1"}
