--- a/shedsill/datagram/_agent.py
+++ b/shedsill/datagram/_agent.py
@@ -19,6 +19,7 @@
     Phase,
     make_load,
     publish,
+    repeat_news,
 )
 from shedsill.datagram._effects import CheckUpstream, Effect, SendMessage
 from shedsill.datagram._events import MessageReceived, StopRequested, Tick
@@ -105,6 +106,7 @@
         state.next_sweep = now + SWEEP_INTERVAL
         effects += _sweep(state, now)
     effects += _slots.take_tick(state, now)
+    effects += repeat_news(state, now)
     if wants_check(state, now):
         state.checking = True
         state.checked_at = now
--- a/shedsill/datagram/_agent_state.py
+++ b/shedsill/datagram/_agent_state.py
@@ -30,6 +30,12 @@
 """Seconds for which a balancer that was heard of gets news directly."""
 
 
+NEWS_REPEATS = (0.3, 0.9, 2.1, 4.5)
+"""Seconds after an agent's first news of itself at which it is told again, unless a
+balancer has spoken since.  Its datagrams may be lost, and a store that turns the agent
+away cannot tell of it."""
+
+
 class Phase(enum.Enum):
     """How far a flow has come at this upstream."""
 
@@ -104,6 +110,10 @@
         that is not known.
     health : Health
         What the upstream's own answers say of it.
+    news_at : float or None
+        When this agent first told of itself, and
+    news_repeats : int
+        how often it has told again.
     retired : set of str
         Runs of the upstream that have ended.
     heartbeat_serial : int
@@ -131,6 +141,8 @@
     flows: dict[bytes, AgentFlow] = field(default_factory=dict)
     tried: dict[bytes, str] = field(default_factory=dict)
     balancers: dict[str, float] = field(default_factory=dict)
+    news_at: float | None = None
+    news_repeats: int = 0
     retired: set[str] = field(default_factory=set)
     heartbeat_serial: int = 0
     heartbeat_at: float = 0.0
@@ -243,6 +255,8 @@
         state.report, serial=state.report.serial + 1, load=make_load(state, now)
     )
     report = state.report
+    if state.news_at is None:
+        state.news_at = now
     fields = {
         "boot": report.boot,
         "state": report.state.value,
@@ -264,6 +278,19 @@
     return [SendMessage(host, announcement) for host in list_balancers(state, now)]
 
 
+def repeat_news(state: AgentState, now: float) -> list[Effect]:
+    """Tell again of this agent while no balancer has shown that it knows it."""
+    if state.news_at is None or state.news_repeats >= len(NEWS_REPEATS):
+        return []
+    if now - state.news_at < NEWS_REPEATS[state.news_repeats]:
+        return []
+    state.news_repeats += 1
+    if any(at > state.news_at for at in state.balancers.values()):
+        state.news_repeats = len(NEWS_REPEATS)
+        return []
+    return announce(state, now)
+
+
 def list_balancers(state: AgentState, now: float) -> list[str]:
     """Return the balancers that get news directly."""
     recent = [h for h, at in state.balancers.items() if now - at < NEWS_LIMIT]
--- a/shedsill/datagram/_balancer.py
+++ b/shedsill/datagram/_balancer.py
@@ -64,6 +64,7 @@
 def start(state: BalancerState, now: float) -> list[Effect]:
     """Make this balancer known, and ask the seeds for the nodes they know."""
     state.started = state.last_tick = state.last_packet = now
+    state.next_introduction = now + _nodes.ASK_INTERVAL
     effects: list[Effect] = [StoreReport(state.report)]
     effects += [
         SendMessage(seed, Probe(report=state.report))
--- a/shedsill/datagram/_roster.py
+++ b/shedsill/datagram/_roster.py
@@ -27,6 +27,10 @@
 INTRODUCTIONS = 3
 """Other balancers that one asks at a time for the nodes they know when it starts."""
 
+OUTAGE_INTERVAL = 1.0
+"""Seconds between these questions after `INTRODUCTION_LIMIT`, while the store has not
+answered either."""
+
 PULL_AFTER = 0.4
 """Seconds that a balancer waits for the store to bring a table that others have.
 All reading from the first one that has it would fill its link."""
@@ -148,6 +152,7 @@
         state.nodes.balancers.pop(host, None)
     if event.whole and not state.nodes.listed:
         state.nodes.listed = True
+        state.next_introduction = event.now
         effects += introduce(state, event.now)
     return effects
 
@@ -167,15 +172,16 @@
     """Ask a few other balancers for the nodes that they know, until one has told.
 
     Agents that the store turns away are known to balancers that they have
-    spoken with, but not from the store.
+    spoken with, but not from the store.  In an outage the seeds are all there is.
     """
-    wanted = state.nodes.listed and not state.introduced
-    if not wanted or now < state.next_introduction:
+    if state.introduced or now < state.next_introduction:
         return []
-    if now - state.started > _nodes.INTRODUCTION_LIMIT:
+    late = now - state.started > _nodes.INTRODUCTION_LIMIT
+    if late and state.nodes.listed:
         return []
-    state.next_introduction = now + _nodes.ASK_INTERVAL
-    others = sorted(state.nodes.balancers)
+    state.next_introduction = now + (OUTAGE_INTERVAL if late else _nodes.ASK_INTERVAL)
+    seeds = [seed for seed in state.seeds if seed != state.report.host]
+    others = sorted({*state.nodes.balancers, *seeds})
     first = state.introductions * INTRODUCTIONS % max(len(others), 1)
     state.introductions += 1
     chosen = (others[first:] + others[:first])[:INTRODUCTIONS]
