--- a/shedsill/tests/test_datagram_heartbeats.py
+++ b/shedsill/tests/test_datagram_heartbeats.py
@@ -2,22 +2,31 @@
 
 from __future__ import annotations
 
+import asyncio
+import json
+
 import pytest
 from msgspec.structs import replace
 
+from shedsill._addresses import Address
+from shedsill.coordination.platform import MemoryPlatform
 from shedsill.datagram._agent_state import AgentFlow, AgentState, Phase
 from shedsill.datagram._backlog import HeldRequest
 from shedsill.datagram._effects import Effect, ResetFlow, SendToUpstream
 from shedsill.datagram._events import EarlierReportRead, Heartbeat, HeartbeatReceived
-from shedsill.datagram._messages import UpstreamState
+from shedsill.datagram._messages import Role, UpstreamState
+from shedsill.datagram._runtime.agent import make_agent
 from shedsill.datagram._upstream import (
     BOOT_SILENCE,
     FIRST_SERIAL,
     take_earlier_report,
     take_heartbeat,
 )
+from shedsill.datagram.adapter import NodeSettings
+from shedsill.platform.heartbeats import InstanceCalls
 from shedsill.testing.agents import make_agent_state
 from shedsill.testing.flow_peers import CODEC, make_packet
+from shedsill.testing.ports import find_ports
 
 SLOTS = 2
 CALLER, SERVICE = (0x64400007, 40_001), (0xC6120001, 443)
@@ -151,3 +160,66 @@
     effects = beat(agent, "i-3", FIRST_SERIAL, 2.0)
     assert [e.packet for e in effects if isinstance(e, SendToUpstream)] == [packet]
     assert agent.busy == agent.working == 1
+
+
+async def answer_heartbeats(*beats: tuple[str, int, str]) -> list[int]:
+    """Send heartbeats to an agent's server; return the statuses of its answers."""
+    host, ports = "127.0.0.4", find_ports(5)
+    settings = NodeSettings(
+        name="side-1",
+        role=Role.AGENT,
+        host=host,
+        zone="z",
+        packets=Address(host, ports[0]),
+        messages=Address(host, ports[1]),
+        agent_port=ports[0],
+        caller_port=ports[2],
+        status=Address(host, ports[2]),
+        readiness_path="/ready",
+        service="dispatcher",
+        upstream=Address(host, ports[3]),
+        outbound=Address(host, ports[4]),
+    )
+    node = make_agent(
+        settings,
+        source=None,  # type: ignore[arg-type]
+        codec=CODEC,
+        platform=MemoryPlatform(),
+        heartbeats=InstanceCalls(),
+    )
+    try:
+        return [
+            node._answer_heartbeat(
+                "PUT", f"/-/instances/{boot}", make_body(serial, state)
+            ).status
+            for boot, serial, state in beats
+        ]
+    finally:
+        node._close()
+
+
+def make_body(serial: int, state: str) -> bytes:
+    value = {
+        "service": "dispatcher",
+        "addr": "127.0.0.4:1",
+        "zone": "z",
+        "version": "v1",
+        "slots": SLOTS,
+        "state": state,
+        "cold_left_ms": 0,
+        "seq": serial,
+    }
+    return json.dumps(value).encode()
+
+
+def test_a_late_heartbeat_that_drains_is_not_confirmed() -> None:
+    """Its sender has ended, and nothing was drained."""
+    statuses = asyncio.run(
+        answer_heartbeats(
+            ("i-2", FIRST_SERIAL, "ready"),
+            ("i-1", 9, "draining"),
+            ("i-1", 10, "ready"),
+            ("i-2", 2, "draining"),
+        )
+    )
+    assert statuses == [200, 409, 409, 200]
