--- a/properties/test_datagram_world.py
+++ b/properties/test_datagram_world.py
@@ -9,14 +9,12 @@
 
 from __future__ import annotations
 
-import random
-
 from hypothesis import Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from shedsill.datagram._messages import UpstreamState
-from shedsill.testing.datagrams import World
+from shedsill.testing.datagrams import Losses, World
 
 SERVICES = ("dispatcher", "intake")
 BALANCERS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
@@ -124,13 +122,8 @@
     @rule(host=balancers, seconds=st.floats(0.1, 5.0), seed=st.integers(0, 99))
     def deafen_balancer(self, host: str, seconds: float, seed: int) -> None:
         """Lose most of what it sends and is sent, then less and less of it."""
-        generator = random.Random(seed)
-        for loss in (1.0, 0.6, 0.3):
-            self.world.is_lost = lambda source, to, loss=loss: (
-                host in (source, to)
-                and source != "caller"
-                and generator.random() < loss
-            )
+        self.world.is_lost = losses = Losses(host, 1.0, seed)
+        for losses.share in (1.0, 0.6, 0.3):
             self.world.run(seconds / 3)
         self.world.is_lost = lambda source, to: False
 
--- a/shedsill/testing/datagrams.py
+++ b/shedsill/testing/datagrams.py
@@ -11,6 +11,7 @@
 import collections
 import heapq
 import itertools
+import random
 import struct
 from collections.abc import Callable
 
@@ -75,6 +76,34 @@
 """Longest pause between tries of a write, as in `_runtime.reports`."""
 
 
+@define(eq=False)
+class Losses:
+    """A share of the datagrams to and from one node that are lost.
+
+    Each pair of nodes has draws of its own, so that what is lost does not hang on the
+    order in which messages to several nodes leave.
+
+    Attributes
+    ----------
+    share : float
+        May be changed while the world runs.
+    """
+
+    host: str
+    share: float
+    seed: int
+    _draws: dict[tuple[str, str], random.Random] = field(factory=dict)
+
+    def __call__(self, source: str, host: str) -> bool:
+        """Whether the next datagram from a node to another one is lost."""
+        if self.host not in (source, host) or source == "caller":
+            return False
+        pair = (source, host)
+        if pair not in self._draws:
+            self._draws[pair] = random.Random(f"{self.seed} {source} {host}")
+        return self._draws[pair].random() < self.share
+
+
 @define(eq=False)
 class World:
     """Everything, and the queue of what is under way.
--- a/shedsill/tests/test_datagram_deafness.py
+++ b/shedsill/tests/test_datagram_deafness.py
@@ -13,13 +13,11 @@
 
 from __future__ import annotations
 
-import random
-
 import pytest
 
 from shedsill._catalogue import LogEvent
 from shedsill.datagram._nodes import LOSSY_LOST_AFTER, LOST_AFTER
-from shedsill.testing.datagrams import World
+from shedsill.testing.datagrams import Losses, World
 from shedsill.testing.flow_peers import Caller
 
 B1, B2, B3 = "10.0.0.1", "10.0.0.2", "10.0.0.3"
@@ -86,10 +84,7 @@
 @pytest.mark.parametrize("seed", range(5))
 def test_a_link_that_loses_most_messages_costs_no_flow(world: World, seed: int) -> None:
     open_flows(world)
-    draw = random.Random(seed)
-    world.is_lost = lambda source, host: (
-        B1 in (source, host) and source != "caller" and draw.random() < 0.6
-    )
+    world.is_lost = Losses(B1, 0.6, seed)
     world.run(8.0)
     world.is_lost = lambda source, host: False
     world.run(2.0)
@@ -125,11 +120,8 @@
         world.call("dispatcher", B1, requests=LONG)
         world.run(0.05)
     restart_balancer(world, B1)
-    draw = random.Random(seed)
-    for loss in (1.0, 0.6, 0.3):
-        world.is_lost = lambda source, host, loss=loss: (
-            B1 in (source, host) and source != "caller" and draw.random() < loss
-        )
+    world.is_lost = losses = Losses(B1, 1.0, seed)
+    for losses.share in (1.0, 0.6, 0.3):
         world.run(1.5)
     world.is_lost = lambda source, host: False
     world.run(2.0)
