--- a/shedsill/tests/test_datagram_restarts.py
+++ b/shedsill/tests/test_datagram_restarts.py
@@ -14,6 +14,8 @@
 
 import pytest
 
+from shedsill.datagram._events import MessageReceived
+from shedsill.datagram._messages import Load, Located
 from shedsill.testing.datagrams import World
 from shedsill.testing.flow_peers import Caller
 
@@ -101,3 +103,16 @@
     world._send_beat(A1)
     world.run(0.1)
     assert caller.outcome == "reset"
+
+
+def test_an_answer_that_names_a_flow_twice_is_taken(world: World) -> None:
+    """Found by the soak: a flow that was asked for twice ended a balancer's process."""
+    caller = open_flow(world)
+    state = world.nodes[B1]
+    state.flows[caller.flow].doubted = True
+    world.upstreams[A1].crash()
+    flows = [caller.flow, caller.flow]
+    answer = Located(boot="i-9", held=[], unknown=flows, unsure=[], load=Load())
+    world._dispatch(B1, MessageReceived(message=answer, source=A1, now=world.now))
+    world.run(0.01)
+    assert caller.outcome == "reset"
