--- a/properties/soak.py
+++ b/properties/soak.py
@@ -67,11 +67,12 @@
     7: "soak: an agent of the old service restarted beside the new upstream",
     11: "soak: two replacements of one upstream ended in the wrong order",
     12: "soak: a stopped agent was started again only after seconds, and given up",
+    14: "a balancer ended on an answer that named a doubted flow twice",
     24: "as 12",
     30: "as 12",
     37: "as 12",
 }
-"""Seeds that have failed once, with the cause; all in the soak itself so far."""
+"""Seeds that have failed once, with the cause."""
 
 Fault = Callable[[str, float, random.Random], Awaitable[None]]
 """A host, seconds, and where it draws the rest from."""
--- a/shedsill/datagram/_locating.py
+++ b/shedsill/datagram/_locating.py
@@ -138,7 +138,9 @@
         if flow is not None and flow.host == host:
             flow.doubted = False
             flow.boot = located.boot
-    dead = [key for key in located.unknown if _is_doubted(state, key, host)]
+    # A flow that was asked for twice is named twice.
+    unknown = dict.fromkeys(located.unknown)
+    dead = [key for key in unknown if _is_doubted(state, key, host)]
     return reset_flows(state, dead, host, "upstream restarted")
 
 
@@ -293,7 +295,8 @@
     """Send the questions that came up since the sockets were last drained."""
     if not state.to_locate:
         return []
-    asked, state.to_locate = state.to_locate, {}
+    asked = {host: [*dict.fromkeys(f)] for host, f in state.to_locate.items()}
+    state.to_locate = {}
     return [
         SendMessage(host, Locate(flows=flows[start : start + FLOWS_PER_QUESTION]))
         for host, flows in asked.items()
