--- /dev/null
+++ b/properties/test_datagram_messages.py
@@ -0,0 +1,132 @@
+"""Any message from any node, in any order, leaves a balancer running.
+
+Messages come over the network: they name flows twice, flows that nobody asked for and
+nodes that nobody knows, and they come late.  The reducer must take each of them.
+"""
+
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from shedsill.datagram._events import (
+    CallerPacket,
+    MessageReceived,
+    PacketsDrained,
+    Tick,
+)
+from shedsill.datagram._messages import (
+    Announcement,
+    FlowDenied,
+    FlowTaken,
+    Load,
+    Located,
+    NodeReport,
+    PacketReturned,
+    Probe,
+    ReturnReason,
+    Role,
+    Roster,
+    UpstreamState,
+)
+from shedsill.datagram._packet import ACK, SYN, Packet
+from shedsill.datagram._reducer import reduce
+from shedsill.testing.datagrams import World
+from shedsill.testing.flow_peers import BITS, CODEC, SERVICE_HOST, make_packet
+
+HOSTS = ("10.1.0.1", "10.1.0.2", "10.1.0.3", "10.9.9.9")
+CALLERS = tuple((0x64400000 + number, 40_000) for number in range(4))
+SERVICE = (SERVICE_HOST, 443)
+STEPS = 40
+
+
+def make_caller_packet(caller: tuple[int, int], *, opening: bool) -> Packet:
+    bits = BITS[SYN] if opening else BITS[ACK]
+    content = b"" if opening else b"request"
+    packet = CODEC.decode_caller(make_packet(caller, SERVICE, bits, content=content))
+    assert packet is not None
+    return packet
+
+
+PACKETS = [
+    make_caller_packet(caller, opening=first)
+    for caller in CALLERS
+    for first in (True, False)
+]
+FLOWS = [packet.flow for packet in PACKETS[::2]]
+
+hosts = st.sampled_from(HOSTS)
+boots = st.sampled_from(["", "i-1", "i-2"])
+flow_lists = st.lists(st.sampled_from(FLOWS), max_size=5)
+loads = st.builds(Load, busy=st.integers(0, 9), slots=st.integers(0, 3))
+reports = st.builds(
+    NodeReport,
+    host=hosts,
+    role=st.sampled_from(Role),
+    zone=st.sampled_from(["z1", "z2"]),
+    incarnation=st.integers(1, 4),
+    serial=st.integers(0, 3),
+    service=st.sampled_from(["dispatcher", "other"]),
+    boot=boots,
+    state=st.sampled_from(UpstreamState),
+    stopping=st.booleans(),
+    version=st.integers(0, 9),
+)
+flows = st.sampled_from(FLOWS)
+reasons = st.sampled_from(ReturnReason)
+messages = st.one_of(
+    st.builds(Announcement, report=reports),
+    st.builds(Probe, report=st.none() | reports),
+    st.builds(Roster, reports=st.lists(reports, max_size=4), last=st.booleans()),
+    st.builds(
+        FlowTaken, flow=flows, boot=boots, initial_seq=st.integers(0, 9), load=loads
+    ),
+    st.builds(
+        Located,
+        boot=boots,
+        held=flow_lists,
+        unknown=flow_lists,
+        unsure=flow_lists,
+        load=loads,
+    ),
+    st.builds(FlowDenied, flow=flows, boot=boots, reason=reasons, load=loads),
+    st.builds(
+        PacketReturned,
+        packet=st.sampled_from([packet.data for packet in PACKETS[::2]]),
+        boot=boots,
+        reason=reasons,
+        load=loads,
+    ),
+)
+steps = st.one_of(
+    st.tuples(hosts, messages),
+    st.sampled_from(PACKETS),
+    st.sampled_from([0.001, 0.04, 0.2, 1.1, 4.0]),
+    st.just("drained"),
+)
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(st.lists(steps, min_size=STEPS, max_size=2 * STEPS))
+def test_a_balancer_takes_any_message(series: list) -> None:
+    world = World(services=("dispatcher",))
+    for host in HOSTS[:3]:
+        world.add_agent(host, "dispatcher", first=True)
+    state = world.add_balancer("10.0.0.1")
+    world.run(0.1)
+    now = world.now
+    for step in series:
+        match step:
+            case (source, PacketReturned() as message):
+                returned = CODEC.decode_caller(message.packet)
+                event = MessageReceived(message=message, source=source, now=now)
+                reduce(state, event, returned)
+            case (source, message):
+                reduce(state, MessageReceived(message=message, source=source, now=now))
+            case Packet():
+                reduce(state, CallerPacket(packet=step, now=now))
+            case "drained":
+                reduce(state, PacketsDrained(now=now))
+            case seconds:
+                now += seconds
+                reduce(state, Tick(now=now))
