--- a/shedsill/datagram/_roster.py
+++ b/shedsill/datagram/_roster.py
@@ -162,7 +162,7 @@
 
     It deletes its report itself when its upstream leaves, and tells so.  Another
     balancer may have deleted it after a time in which it did not hear the agent; such
-    an agent is asked, and given up as any other that is silent.
+    an agent is given up as any other, once it leaves questions unanswered here.
     """
     told = view.suspect and view.report.state == UpstreamState.GONE
     return view.lost or told
