--- a/shedsill/datagram/_balancer.py
+++ b/shedsill/datagram/_balancer.py
@@ -273,7 +273,10 @@
 
 
 def _look_after_flows(state: BalancerState, now: float) -> list[Effect]:
-    """Forget flows that have rested for too long; note who holds the others."""
+    """Forget flows that have rested for too long; note who holds the others.
+
+    The holders of doubted flows are asked again until they answer.
+    """
     if now < state.next_look:
         return []
     state.next_look = now + LOOK_AFTER_FLOWS
@@ -284,10 +287,12 @@
         if rest > limit or (flow.closed and rest > CLOSED_LINGER):
             del state.flows[key]
             state.placing.pop(key, None)
-        elif flow.host and not flow.closed:
+            continue
+        if flow.doubted:
+            _locating.ask_holder(state, key, flow)
+        if flow.host and not flow.closed:
             holding.add(flow.host)
     state.holding_hosts = holding
-    _locating.ask_doubted(state)
     for key, at in list(state.resets.items()):
         if now - at > RESET_MEMORY:
             del state.resets[key]
--- a/shedsill/datagram/_locating.py
+++ b/shedsill/datagram/_locating.py
@@ -118,14 +118,12 @@
     for key, flow in state.flows.items():
         if flow.host == report.host and flow.boot not in ("", report.boot):
             flow.doubted = True
-            _ask(state, key, (report.host,))
+            ask_holder(state, key, flow)
 
 
-def ask_doubted(state: BalancerState) -> None:
-    """Ask again for the flows whose agent has not answered."""
-    for key, flow in state.flows.items():
-        if flow.doubted:
-            _ask(state, key, (flow.host,))
+def ask_holder(state: BalancerState, key: bytes, flow: BalancerFlow) -> None:
+    """Ask the agent that held a flow whether it holds it still."""
+    _ask(state, key, (flow.host,))
 
 
 def _settle_doubts(state: BalancerState, located: Located, host: str) -> list[Effect]:
--- a/shedsill/tests/test_datagram_restarts.py
+++ b/shedsill/tests/test_datagram_restarts.py
@@ -116,3 +116,14 @@
     world._dispatch(B1, MessageReceived(message=answer, source=A1, now=world.now))
     world.run(0.01)
     assert caller.outcome == "reset"
+
+
+def test_a_doubted_flow_is_asked_for_until_its_agent_answers(world: World) -> None:
+    """The first question was lost, and the caller has nothing left to send."""
+    caller = open_flow(world)
+    world.routers[caller.flow] = "nowhere"
+    world.nodes[B1].flows[caller.flow].doubted = True
+    world.nodes[A1].flows.clear()
+    world.upstreams[A1].flows.clear()
+    world.run(0.3)
+    assert caller.outcome == "reset"
