--- a/shedsill/coordination/watch.py
+++ b/shedsill/coordination/watch.py
@@ -18,6 +18,11 @@
 DEFAULT_PATIENCE = 10.0
 
 
+def get_default_patience() -> float:
+    """Return the seconds for which a watch waits where nobody says otherwise."""
+    return DEFAULT_PATIENCE
+
+
 async def watch_kinds(
     platform: Platform,
     kinds: tuple[str, ...],
@@ -69,8 +74,8 @@
     kind: str,
     *,
     sleep: Callable[[float], Awaitable[None]],
-    patience: float = DEFAULT_PATIENCE,
-    rest: Callable[[], Awaitable[float]] | None = None,
+    patience: Callable[[], float] = get_default_patience,
+    rest: Callable[[], Awaitable[float | None]] | None = None,
     backoff: Backoff | None = None,
 ) -> AsyncIterator[Listing | Changed | Unavailable]:
     """Yield a listing at first and then only what has changed since.
@@ -81,10 +86,12 @@
 
     Parameters
     ----------
+    patience : callable
+        Returns the seconds for which the next watch waits.
     rest : callable
         Awaited after a listing or a change, so that changes that come close together
-        are fetched in one call.  Returns the patience of the next watch, in seconds;
-        less than `patience` if the caller only wants what has changed so far.
+        are fetched in one call.  Returns the patience of the next watch where the
+        caller only wants what has changed so far, and None otherwise.
 
     Examples
     --------
@@ -101,24 +108,23 @@
     backoff = backoff or Backoff()
     revision: int | None = None
     failures = 0
-    next_patience = patience
+    hurried: float | None = None
     while True:
         if revision is None:
             outcome = await platform.call(List(kinds=(kind,)))
         else:
             outcome = await platform.call(
-                Watch(kinds=(kind,), revision=revision, patience=next_patience)
+                Watch(kinds=(kind,), revision=revision, patience=hurried or patience())
             )
-        hurried = next_patience < patience
-        next_patience = patience
+        was_hurried, hurried = hurried is not None, None
         match outcome:
             case Listing() | Changed():
                 failures = 0
                 revision = outcome.revision
                 yield outcome
                 is_news = isinstance(outcome, Listing) or outcome.names
-                if rest is not None and (is_news or hurried):
-                    next_patience = await rest()
+                if rest is not None and (is_news or was_hurried):
+                    hurried = await rest()
             case HistoryGone():
                 revision = None
             case Unavailable():
--- a/shedsill/datagram/_runtime/balancer.py
+++ b/shedsill/datagram/_runtime/balancer.py
@@ -65,6 +65,11 @@
 WATCH_PATIENCE = 25.0
 """Seconds for which a watch waits; each one is a call that is paid for."""
 
+COLLECTOR_PATIENCE = 2.0
+"""The same at the collector, which tells the others what it reads.  A store that keeps
+a connection open and never answers is noticed after this time and the margin of a
+watch, in time for a VM that must be in touch 4 s after trouble."""
+
 READ_PATIENCE = 0.02
 """Seconds for which a watch waits that is only to tell what has changed so far."""
 
@@ -185,7 +190,7 @@
             self.platform,
             self._table_source.kind,
             sleep=asyncio.sleep,
-            patience=WATCH_PATIENCE,
+            patience=self._get_patience,
             backoff=RETRY,
         )
         async for outcome in changes:
@@ -245,7 +250,7 @@
             self.platform,
             REPORT_KIND,
             sleep=asyncio.sleep,
-            patience=WATCH_PATIENCE,
+            patience=self._get_patience,
             rest=self._rest_between_reports,
             backoff=RETRY,
         )
@@ -260,7 +265,11 @@
                     self.note_platform(None)
                     self._take_reports(objects, deleted, whole=False)
 
-    async def _rest_between_reports(self) -> float:
+    def _get_patience(self) -> float:
+        is_collector = self.state.checkpoints.collector == self.settings.host
+        return COLLECTOR_PATIENCE if is_collector else WATCH_PATIENCE
+
+    async def _rest_between_reports(self) -> float | None:
         """Wait until the next watch is due or reports are wanted at once."""
         self._reports_wanted.clear()
         self._resting = True
@@ -268,7 +277,7 @@
             async with asyncio.timeout(self.state.reading.pause):
                 await self._reports_wanted.wait()
         except TimeoutError:
-            return WATCH_PATIENCE
+            return None
         finally:
             self._resting = False
         return READ_PATIENCE
--- a/shedsill/datagram/_selection.py
+++ b/shedsill/datagram/_selection.py
@@ -45,9 +45,9 @@
 """Seconds without openings for an upstream that has refused one: it is leaving,
 full, or not up yet, and each further try costs its caller a round trip."""
 
-DEFAULT_SLOTS = 2
+DEFAULT_SLOTS = 1
 """Slots assumed of an upstream of which neither a heartbeat nor an earlier report
-has told; the fewest of any deployment described."""
+has told: the fewest that it can have, so that it never gets more than it takes."""
 
 TAKING = (UpstreamState.READY, UpstreamState.UNKNOWN)
 
--- a/shedsill/platform/store.py
+++ b/shedsill/platform/store.py
@@ -38,8 +38,8 @@
 """Seconds for one call; the store answers in 4 ms, and in 0.3 s when slow.  A call
 that fell into an outage must not be waited for long after it."""
 
-WATCH_MARGIN = 1.5
-"""Seconds beyond its patience in which a watch has to answer."""
+WATCH_MARGIN = 0.8
+"""Seconds beyond its patience in which a watch has to answer, as any call."""
 
 T = TypeVar("T")
 
--- a/shedsill/tests/test_datagram_bounds.py
+++ b/shedsill/tests/test_datagram_bounds.py
@@ -17,7 +17,7 @@
 from shedsill.datagram._runtime import balancer, reports
 from shedsill.datagram._runtime.node import TICK_INTERVAL
 from shedsill.datagram._runtime.tables import TABLE_RATE, pack_table
-from shedsill.platform.store import CALL_TIMEOUT
+from shedsill.platform.store import CALL_TIMEOUT, WATCH_MARGIN
 from shedsill.tests.test_datagram_tables import make_table
 
 CONTACT = 4.0
@@ -44,6 +44,17 @@
     assert delay < CONTACT
 
 
+def test_a_watch_that_is_never_answered_delays_no_change_for_long() -> None:
+    """The store keeps the collector's connection and says nothing more.
+
+    The collector watches again, and the others read the table from it.
+    """
+    noticed = balancer.COLLECTOR_PATIENCE + WATCH_MARGIN + balancer.RETRY.first
+    content = len(pack_table(make_table(LARGE_TABLE)))
+    spread = PULL_AFTER + TICK_INTERVAL + content / THIN_LINK
+    assert noticed + TRANSFER + spread < CONTACT + CONFIGURATION / 4
+
+
 def test_a_call_on_a_silent_connection_is_given_up_in_time() -> None:
     delay = max(USER_TIMEOUT / 1000, CALL_TIMEOUT) + balancer.RETRY.first + TRANSFER
     assert delay < CONTACT
--- a/shedsill/tests/test_platform_store.py
+++ b/shedsill/tests/test_platform_store.py
@@ -131,7 +131,9 @@
 def test_a_watch_of_changes_lists_again_where_history_is_gone() -> None:
     async def scenario(stand_in: ObjectStoreStandIn, store: ObjectStore) -> None:
         await put(store, "a")
-        outcomes = watch_changes(store, KIND, sleep=asyncio.sleep, patience=0.05)
+        outcomes = watch_changes(
+            store, KIND, sleep=asyncio.sleep, patience=lambda: 0.05
+        )
         assert isinstance(await anext(outcomes), Listing)
         await put(store, "b")
         stand_in.forget_history()
@@ -304,3 +306,26 @@
     store._client = Answering()
     outcome = asyncio.run(store.call(call))
     assert isinstance(outcome, Outcome)
+
+
+def test_a_watch_that_is_never_answered_is_begun_anew() -> None:
+    """The store keeps the connection and says nothing more on it, ever."""
+
+    async def scenario(stand_in: ObjectStoreStandIn, store: ObjectStore) -> None:
+        await put(store, "a")
+        outcomes = watch_changes(
+            store, KIND, sleep=asyncio.sleep, patience=lambda: 0.05
+        )
+        assert isinstance(await anext(outcomes), Listing)
+        stand_in.faults.down = "silent"
+        waiting = asyncio.ensure_future(anext(outcomes))
+        await asyncio.sleep(0.02)
+        stand_in.faults.down = ""
+        await put(store, "b")
+        assert isinstance(await waiting, Unavailable)
+        changed = await anext(outcomes)
+        assert isinstance(changed, Changed)
+        assert changed.names == (f"{KIND}/b",)
+        await outcomes.aclose()
+
+    play(scenario)
