--- a/benchmarks/ledger.py
+++ b/benchmarks/ledger.py
@@ -307,6 +307,58 @@
     return counts
 
 
+def sum_figures(path: pathlib.Path) -> dict[tuple[str, str], collections.Counter]:
+    """Sum what all nodes asked of the store and told each other, by role.
+
+    Nodes log their counts every few seconds; the last ones before a node's end or
+    restart count, so that what it did after them is missing.
+
+    Returns
+    -------
+    dict
+        Counts by kind, for each pair of a role and ``calls``, ``messages`` or
+        ``octets``.
+    """
+    roles: dict[str, str] = {}
+    latest: dict[str, dict] = {}
+    sums: dict[tuple[str, str], collections.Counter] = collections.defaultdict(
+        collections.Counter
+    )
+
+    def settle(node: str) -> None:
+        for group, counts in latest.pop(node, {}).items():
+            sums[roles.get(node, "?"), group].update(counts)
+
+    for line in path.open(errors="replace"):
+        match = LINE.match(line)
+        if match is None or '"node_' not in line:
+            continue
+        try:
+            entry = json.loads(match[3])
+        except json.JSONDecodeError:
+            continue
+        node = match[2]
+        if entry["name"] == "node_started":
+            settle(node)
+            roles[node] = entry["role"]
+        elif entry["name"] == "node_figures":
+            latest[node] = {k: entry[k] for k in ("calls", "messages", "octets")}
+    for node in list(latest):
+        settle(node)
+    return sums
+
+
+def print_figures(sums: dict[tuple[str, str], collections.Counter]) -> None:
+    """Print calls of the store by kind, and messages with their octets."""
+    for (role, group), counts in sorted(sums.items()):
+        if group == "octets":
+            continue
+        octets = sums[role, "octets"]
+        for name, count in counts.most_common():
+            cell = f"  {octets[name] / 1000:8.0f} kB" if group == "messages" else ""
+            click.echo(f"  {role:9} {group:8} {name:24} {count:7}{cell}")
+
+
 def print_windows(report: dict, log: dict[int, collections.Counter]) -> None:
     """Print the windows in which more than one in fifty was not in time."""
     events = ("node_started", "flow_offered", "request_held", "request_passed_on")
@@ -342,6 +394,8 @@
         figures = json.loads(report.read_text())
         print_report(figures)
         print_windows(figures, read_log(log) if log else {})
+    if log is not None:
+        print_figures(sum_figures(log))
     values = tomllib.loads(site.read_text())
     deployment = read_deployment(values, day)
     worths = []
--- a/shedsill/_catalogue.py
+++ b/shedsill/_catalogue.py
@@ -141,4 +141,5 @@
     PACKET_MALFORMED = Entry(641, Level.INFO, "datagram is not a packet")
     SEND_FAILED = Entry(642, Level.WARNING, "datagram could not be sent")
     CALL_REFUSED = Entry(643, Level.INFO, "HTTP call refused")
+    NODE_FIGURES = Entry(645, Level.INFO, "calls and messages since the start")
     LINES_DROPPED = Entry(644, Level.WARNING, "log lines left out")
--- a/shedsill/datagram/_runtime/balancer.py
+++ b/shedsill/datagram/_runtime/balancer.py
@@ -102,7 +102,7 @@
         self._reports_wanted = asyncio.Event()
         self._resting = False
         self._checkpoints = CheckpointStore(
-            platform, write_note=self.write_note, take=self._take_checkpoint
+            self.platform, write_note=self.write_note, take=self._take_checkpoint
         )
         self._packets = self.open_datagrams(settings.packets, self._take_packet)
 
--- a/shedsill/datagram/_runtime/node.py
+++ b/shedsill/datagram/_runtime/node.py
@@ -51,7 +51,12 @@
 from shedsill.datagram._reducer import reduce
 from shedsill.datagram._runtime.http import Handler, Response, serve_http
 from shedsill.datagram._runtime.log import JsonLog
-from shedsill.datagram._runtime.metrics import Histogram, format_events
+from shedsill.datagram._runtime.metrics import (
+    CountedPlatform,
+    Histogram,
+    Traffic,
+    format_events,
+)
 from shedsill.datagram._runtime.reports import ReportWriter
 from shedsill.datagram.adapter import NodeSettings, PacketCodec, SettingsSource
 from shedsill.errors import DecodeError, InvariantError, SettingError
@@ -70,6 +75,10 @@
 SETTINGS_INTERVAL = 1.0
 """Seconds between looks at whether the settings have changed."""
 
+FIGURES_INTERVAL = 5.0
+"""Seconds between log lines that tell what this node has asked of others; a killed
+node leaves no other word of it."""
+
 METRICS_PATH = "/metrics"
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
@@ -100,7 +109,8 @@
         self.settings = settings
         self._source = source
         self.codec = codec
-        self.platform = platform
+        self.traffic = Traffic()
+        self.platform = CountedPlatform(platform, self.traffic)
         self.failure: Exception | None = None
         self.log = JsonLog(node=settings.name, describe=codec.describe_flow)
         self.latency = Histogram(
@@ -108,7 +118,7 @@
             "Balancer: offer to answer of an opening; agent: request to answer",
         )
         self.reports = ReportWriter(
-            platform=platform,
+            platform=self.platform,
             write_note=self.write_note,
             take_earlier=self._take_earlier_report,
             run_beside=self.run_beside,
@@ -148,6 +158,7 @@
         self.write_note(Note(event=LogEvent.NODE_STARTED, fields=fields))
         self.begin()
         self._tick()
+        self._loop.call_later(FIGURES_INTERVAL, self._write_figures)
         await self._exited.wait()
         await self.reports.finish()
         self._close()
@@ -212,6 +223,17 @@
         if not self._exited.is_set():
             self._loop.call_later(TICK_INTERVAL, self._tick)
 
+    def _write_figures(self) -> None:
+        """Log what this node has asked of others since its start."""
+        fields = {
+            "calls": self.traffic.calls,
+            "messages": self.traffic.messages,
+            "octets": self.traffic.octets,
+        }
+        self.write_note(Note(event=LogEvent.NODE_FIGURES, fields=fields))
+        if not self._exited.is_set():
+            self._loop.call_later(FIGURES_INTERVAL, self._write_figures)
+
     # Input
 
     def open_datagrams(
@@ -289,6 +311,7 @@
         if path.partition("?")[0] != METRICS_PATH:
             return Response(status=HTTP_NOT_FOUND, body=b"")
         lines = [*format_events(self.log.counts), *self.latency.format()]
+        lines += self.traffic.format()
         lines += self.list_gauges()
         return Response(status=HTTP_OK, body="\n".join([*lines, ""]).encode())
 
@@ -323,8 +346,10 @@
             case Note():
                 self.write_note(effect)
             case SendMessage(host=host, message=message):
+                octets = encode_message(message)
+                self.traffic.count_message(type(message).__name__, len(octets))
                 target = (host, self.settings.messages.port)
-                self.send(self._messages, encode_message(message), target)
+                self.send(self._messages, octets, target)
             case ResetFlow(flow=flow, seq=seq):
                 self.send_to_caller(flow, self.codec.encode_reset(flow, seq))
             case ObserveLatency(seconds=seconds):
