--- a/properties/test_datagram_messages.py
+++ b/properties/test_datagram_messages.py
@@ -8,20 +8,26 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from shedsill.datagram._events import (
     CallerPacket,
+    CheckpointRead,
     MessageReceived,
     PacketsDrained,
+    ReportsListed,
     Tick,
 )
 from shedsill.datagram._messages import (
     Announcement,
+    CheckpointPart,
+    CheckpointTaken,
     FlowDenied,
     FlowTaken,
     Load,
     Located,
     NodeReport,
+    OpenFlow,
     PacketReturned,
     Probe,
     ReturnReason,
@@ -74,6 +80,17 @@
 )
 flows = st.sampled_from(FLOWS)
 reasons = st.sampled_from(ReturnReason)
+open_flows = st.lists(
+    st.builds(
+        OpenFlow,
+        flow=flows,
+        host=hosts,
+        service=st.just("dispatcher"),
+        boot=boots,
+        caller_ack=st.integers(0, 9),
+    ),
+    max_size=4,
+)
 messages = st.one_of(
     st.builds(Announcement, report=reports),
     st.builds(Probe, report=st.none() | reports),
@@ -97,9 +114,27 @@
         reason=reasons,
         load=loads,
     ),
+    st.builds(CheckpointPart, number=st.integers(0, 3), flows=open_flows),
+    st.just(CheckpointTaken()),
+)
+checkpoints = st.builds(
+    CheckpointRead,
+    parts=st.dictionaries(st.sampled_from(["10.0.0.1", "10.0.0.2"]), open_flows),
+    age=st.sampled_from([0.0, 100.0]),
+    at_start=st.booleans(),
+    now=st.just(0.0),
+)
+listings = st.builds(
+    ReportsListed,
+    reports=st.lists(reports, max_size=4).map(tuple),
+    removed=st.lists(hosts, max_size=2).map(tuple),
+    whole=st.booleans(),
+    now=st.just(0.0),
 )
 steps = st.one_of(
     st.tuples(hosts, messages),
+    checkpoints,
+    listings,
     st.sampled_from(PACKETS),
     st.sampled_from([0.001, 0.04, 0.2, 1.1, 4.0]),
     st.just("drained"),
@@ -126,6 +161,8 @@
                 reduce(state, event, returned)
             case (source, message):
                 reduce(state, MessageReceived(message=message, source=source, now=now))
+            case CheckpointRead() | ReportsListed():
+                reduce(state, replace(step, now=now))
             case Packet():
                 reduce(state, CallerPacket(packet=step, now=now))
             case "drained":
--- a/properties/test_datagram_world.py
+++ b/properties/test_datagram_world.py
@@ -101,6 +101,26 @@
         for number, host in enumerate(BALANCERS):
             self.world.add_balancer(host, zone=f"z{number % 2}")
 
+    @rule(ended=st.sets(agents), dark=st.floats(0.0, 2.0))
+    def lose_power(self, ended: set[str], dark: float) -> None:
+        """End all nodes and some upstreams; those start again with their VMs."""
+        for host in (*BALANCERS, *AGENTS):
+            self.world.kill(host)
+        for host in sorted(ended):
+            self.world.crash_upstream(host)
+        self.world.run(dark)
+        for host in sorted(ended):
+            self.world.start_upstream(host, AGENTS[host])
+        for number, host in enumerate(BALANCERS):
+            self.world.add_balancer(host, zone=f"z{number % 2}")
+        for number, (host, service) in enumerate(AGENTS.items()):
+            self.world.add_agent(host, service, zone=f"z{number % 2}")
+
+    @rule(hosts=st.sets(balancers))
+    def rest_watches(self, hosts: set[str]) -> None:
+        """Have only the other balancers hear at once of what the store holds."""
+        self.world.resting = hosts
+
     @rule(host=agents)
     def restart_upstream(self, host: str) -> None:
         self.world.crash_upstream(host)
--- /dev/null
+++ b/shedsill/tests/test_silent_connections.py
@@ -0,0 +1,144 @@
+"""One established connection falls silent for good, while new ones work.
+
+Pattern: a share of the open connections between nodes, or to the store, say nothing
+more, without a reset, and operators change the configuration some seconds later.  The
+stand-in's side stops reading and writing on one connection; nothing else tells.
+
+`LIMIT` is what the strictest deployment described leaves: a VM counts as in touch 4 s
+after such trouble.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import msgspec
+
+from shedsill._addresses import Address
+from shedsill.coordination.platform import (
+    Changed,
+    Get,
+    Listing,
+    Put,
+    Stored,
+    Unavailable,
+)
+from shedsill.coordination.watch import watch_changes
+from shedsill.datagram._runtime.balancer import COLLECTOR_PATIENCE, RETRY
+from shedsill.platform.store import WATCH_MARGIN, ObjectStore
+
+KIND = "config"
+LIMIT = 4.0
+"""Seconds."""
+
+
+class FallingSilent:
+    """A store of one object whose connections can be made silent, one by one.
+
+    Attributes
+    ----------
+    silent : int
+        Connections, in the order in which they came, that say nothing more.
+    revision : int
+        Of the object, and of the store.
+    """
+
+    def __init__(self) -> None:
+        self.silent = 0
+        self.revision = 1
+        self.connections = 0
+        self._changed = asyncio.Event()
+
+    def change(self) -> None:
+        """Change the object; watches that wait are answered."""
+        self.revision += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer the calls of one connection until it is silent."""
+        number = self.connections
+        self.connections += 1
+        while head := await self._read_head(reader):
+            body = await self._answer(head)
+            if number < self.silent:
+                await asyncio.sleep(60.0)
+            answer = f"HTTP/1.1 200 -\r\nContent-Length: {len(body)}\r\n\r\n"
+            writer.write(answer.encode() + body)
+
+    async def _read_head(self, reader: asyncio.StreamReader) -> str:
+        try:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return ""
+        for line in head.split("\r\n"):
+            if line.lower().startswith("content-length:"):
+                await reader.readexactly(int(line.partition(":")[2]))
+        return head
+
+    async def _answer(self, head: str) -> bytes:
+        item = {"meta": {"name": "main", "rev": self.revision}, "spec": {"n": 1}}
+        target = head.split(" ", 2)[1]
+        if "watch=" in target:
+            if f"watch={self.revision}&" in target:
+                await self._changed.wait()
+            item["meta"]["rev"] = self.revision
+            events = [{"object": item, "deleted": False}]
+            value = {"events": events, "current_rev": self.revision}
+        elif target.endswith(f"/{KIND}"):
+            value = {"items": [item], "current_rev": self.revision}
+        else:
+            value = item
+        return msgspec.json.encode(value)
+
+
+async def start_store() -> tuple[FallingSilent, asyncio.Server, ObjectStore]:
+    stand_in = FallingSilent()
+    server = await asyncio.start_server(stand_in.serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    return stand_in, server, ObjectStore(Address("127.0.0.1", port))
+
+
+def test_a_call_goes_on_over_a_new_connection() -> None:
+    async def scenario() -> None:
+        stand_in, server, store = await start_store()
+        get = Get(kind=KIND, name="main")
+        await store.call(get)
+        stand_in.silent = 1
+        begun = time.monotonic()
+        assert isinstance(await store.call(get), Unavailable)
+        put = Put(kind=KIND, name="main", value={}, expected=1)
+        assert isinstance(await store.call(put), Stored)
+        assert time.monotonic() - begun < LIMIT
+        assert stand_in.connections == 2
+        server.close()
+
+    asyncio.run(scenario())
+
+
+def test_the_collector_hears_of_a_change_over_a_new_connection() -> None:
+    """Its watch waits with nothing to send; the bound is on what it waits for."""
+    noticed = COLLECTOR_PATIENCE + WATCH_MARGIN + RETRY.first
+    assert noticed < LIMIT
+
+    async def scenario() -> None:
+        stand_in, server, store = await start_store()
+        outcomes = watch_changes(
+            store, KIND, sleep=asyncio.sleep, patience=lambda: 0.1, backoff=RETRY
+        )
+        assert isinstance(await anext(outcomes), Listing)
+        stand_in.silent = 1
+        waiting = asyncio.ensure_future(anext(outcomes))
+        await asyncio.sleep(0.05)
+        stand_in.change()
+        assert isinstance(await waiting, Unavailable)
+        changed = await anext(outcomes)
+        assert isinstance(changed, Changed)
+        assert [item.version for item in changed.objects] == [2]
+        await outcomes.aclose()
+        server.close()
+
+    asyncio.run(scenario())
