--- a/shedsill/datagram/_checkpointing.py
+++ b/shedsill/datagram/_checkpointing.py
@@ -22,6 +22,7 @@
 from shedsill.datagram._effects import Effect, SendMessage, StoreCheckpoint
 from shedsill.datagram._events import CheckpointRead
 from shedsill.datagram._messages import CheckpointPart, CheckpointTaken, OpenFlow
+from shedsill.datagram._packet import SEQUENCE_SPACE, measure_advance
 
 INTERVAL = 2.0
 """Seconds between checkpoints.  Each one is one call of the store for the whole
@@ -31,9 +32,10 @@
 """Seconds for which a caller has used a flow before it is kept: those of a single
 request are over by then, and cost no write."""
 
-ACTIVE_WITHIN = 4.0
-"""Seconds within which a caller has sent a packet on a flow that is kept.  One that has
-rested for longer waits for no answer."""
+ACTIVE_WITHIN = 10.0
+"""Seconds within which a caller has sent a packet on a flow that is kept.  Callers of
+long flows pause for some seconds, and one that asks again in the dark on a flow that
+has ended is as badly off as one whose request was at work."""
 
 PART_LIFETIME = 10.0
 """Seconds for which the collector keeps what a balancer has told: long enough for that
@@ -137,19 +139,36 @@
     for host, part in list(parts.items()):
         if now - part.taken_at > PART_LIFETIME:
             del parts[host]
-    value: dict[str, list[OpenFlow]] = {}
-    room = MAX_FLOWS
-    for host, part in sorted(parts.items()):
-        flows = part.flows[:room]
-        room -= len(flows)
-        if flows:
-            value[host] = flows
+    value = _list_latest(parts)
     if value == checkpoints.stored:
         return []
     checkpoints.stored = value
     return [StoreCheckpoint(value)]
 
 
+def _list_latest(parts: dict[str, Part]) -> dict[str, list[OpenFlow]]:
+    """Return each flow once, from the balancer that has seen most of it.
+
+    After a change of the routers the one before still remembers it, but does not know
+    how far the caller has got, which a reset has to name.
+    """
+    latest: dict[bytes, tuple[str, OpenFlow]] = {}
+    for host, part in sorted(parts.items()):
+        for flow in part.flows:
+            known = latest.get(flow.flow)
+            if known is None or _is_ahead(flow, known[1]):
+                latest[flow.flow] = host, flow
+    value: dict[str, list[OpenFlow]] = {}
+    for host, flow in list(latest.values())[:MAX_FLOWS]:
+        value.setdefault(host, []).append(flow)
+    return value
+
+
+def _is_ahead(flow: OpenFlow, known: OpenFlow) -> bool:
+    advance = measure_advance(flow.caller_ack, known.caller_ack)
+    return 0 < advance < SEQUENCE_SPACE // 2
+
+
 def take_part(
     state: BalancerState, message: CheckpointPart, source: str, now: float
 ) -> list[Effect]:
--- a/shedsill/tests/test_datagram_checkpoints.py
+++ b/shedsill/tests/test_datagram_checkpoints.py
@@ -24,6 +24,7 @@
     decode_message,
     encode_message,
 )
+from shedsill.datagram._packet import measure_advance
 from shedsill.testing.datagrams import World
 from shedsill.testing.flow_peers import Caller
 
@@ -254,6 +255,39 @@
     assert state.flows[key] is known
 
 
+def test_a_flow_that_two_balancers_know_is_kept_once(world: World) -> None:
+    """The one that routers use now knows how far the caller has got."""
+    (caller,) = open_flows(world, count=1)
+    world.routers[caller.flow] = BALANCERS[2]
+    world.run(6.0)
+    assert caller.flow in world.nodes[BALANCERS[0]].flows
+    kept = {
+        host: flow.caller_ack
+        for host, flows in world.checkpoint.items()
+        for flow in flows
+        if flow.flow == caller.flow
+    }
+    assert list(kept) == [BALANCERS[2]]
+    behind = world.nodes[BALANCERS[0]].flows[caller.flow].caller_ack
+    assert measure_advance(kept[BALANCERS[2]], behind) > 0
+
+
+def test_a_caller_that_asks_in_the_dark_is_freed(world: World) -> None:
+    """It had rested, and its next copy goes to a balancer that has not started."""
+    callers = open_flows(world)
+    for caller in callers:
+        caller.requests = caller.answers + 1
+    world.run(5.0)
+    silence(world, callers)
+    for caller in callers:
+        caller.outcome = ""
+    cut_power(world)
+    world.run(DARK)
+    return_power(world)
+    world.run(1.0)
+    assert len(world.resets) == len(callers)
+
+
 def test_an_answer_of_anyone_is_taken(world: World) -> None:
     event = MessageReceived(message=CheckpointTaken(), source="10.9.9.9", now=world.now)
     world._dispatch(BALANCERS[0], event)
