--- a/shedsill/datagram/_nodes.py
+++ b/shedsill/datagram/_nodes.py
@@ -12,7 +12,7 @@
 from msgspec import Struct, field
 from msgspec.structs import replace
 
-from shedsill.datagram._messages import Load, NodeReport, Role
+from shedsill.datagram._messages import Load, NodeReport, Role, UpstreamState
 from shedsill.datagram._selection import UpstreamView
 
 SILENT_AFTER = 0.5
@@ -32,6 +32,10 @@
 living upstream, which takes 0.6 s (1.4 s measured with 0.16 of a core), and
 answers until then.  One that is silent for longer has gone with its VM."""
 
+GONE_LOST_AFTER = 0.3
+"""The same for an agent whose upstream has said that it ends: their VM goes next, and
+each search for a flow would wait for it."""
+
 LOST_QUESTIONS = 3
 """Questions that must have gone unanswered by then; datagrams may be lost."""
 
@@ -231,11 +235,19 @@
         ask_soon(view, now)
 
 
+def is_ending(view: UpstreamView) -> bool:
+    """Whether an upstream has said that it ends, and its agent still answers."""
+    return view.report.state == UpstreamState.GONE and not view.lost
+
+
 def is_lost(view: UpstreamView, now: float) -> bool:
     """Whether the flows of a silent agent are to be given up now."""
     if view.lost or view.silent_since is None:
         return False
-    limit = STOPPING_LOST_AFTER if view.report.stopping else LOST_AFTER
+    if is_ending(view):
+        limit = GONE_LOST_AFTER
+    else:
+        limit = STOPPING_LOST_AFTER if view.report.stopping else LOST_AFTER
     return now - view.silent_since >= limit and view.questions >= LOST_QUESTIONS
 
 
--- a/shedsill/datagram/_roster.py
+++ b/shedsill/datagram/_roster.py
@@ -55,14 +55,30 @@
     if report.boot and view.told_boot != report.boot:
         view.told_boot = report.boot
         _locating.doubt_flows(state, report)
-    if before is None or report.incarnation not in (
+    known = before is not None and report.incarnation in (
         before.incarnation,
         view.rumoured,
-    ):
+    )
+    if not known or (_is_leaving(report, before) and _relays_leaving(state, now)):
         effects += _relay(state, report)
     return effects
 
 
+def _is_leaving(report: NodeReport, before: NodeReport | None) -> bool:
+    gone = UpstreamState.GONE
+    return report.state == gone and before is not None and before.state != gone
+
+
+def _relays_leaving(state: BalancerState, now: float) -> bool:
+    """Whether this balancer tells the others that an upstream is about to end.
+
+    Its agent has told the seeds, and those that dealt with it lately.  If all of them
+    passed it on, there would be as many messages as pairs of balancers.
+    """
+    is_collector = _checkpointing.choose_collector(state, now) == state.report.host
+    return is_collector or state.report.host in state.seeds
+
+
 def _relay(state: BalancerState, report: NodeReport) -> list[Effect]:
     """Tell the other balancers of an agent that has just started.
 
@@ -263,7 +279,7 @@
     views = state.nodes.upstreams.values()
     doubt = any(v.silent_since is not None and not v.lost for v in views)
     for host, view in state.nodes.upstreams.items():
-        wanted = doubt or host in state.holding_hosts
+        wanted = doubt or host in state.holding_hosts or _nodes.is_ending(view)
         if _nodes.is_due(view, now, wanted=wanted):
             _nodes.note_asked(view, now)
             effects.append(SendMessage(host, probe))
--- a/shedsill/testing/datagrams.py
+++ b/shedsill/testing/datagrams.py
@@ -137,6 +137,7 @@
     first_beat: float = LATENCY
     cut: set[str] = field(factory=set)
     resting: set[str] = field(factory=set)
+    seeds: tuple[str, ...] = ()
     is_lost: Callable[[str, str], bool] = field(default=lambda source, host: False)
     table: ForwardingTable = field(factory=ForwardingTable)
     notes: list[tuple[str, Note]] = field(factory=list)
@@ -179,7 +180,7 @@
         """Start a balancer; it reads what the store holds."""
         state = BalancerState(
             report=self._make_report(host, Role.BALANCER, zone),
-            seeds=(),
+            seeds=self.seeds,
             flow_lifetime=60.0,
             stop_limit=5.0,
         )
@@ -198,7 +199,7 @@
         """Start an agent, and its upstream if there is none on that VM."""
         state = AgentState(
             report=self._make_report(host, Role.AGENT, zone, service),
-            seeds=(),
+            seeds=self.seeds,
             flow_lifetime=60.0,
             stop_limit=5.0,
             complete=first,
--- a/shedsill/tests/test_datagram_searches.py
+++ b/shedsill/tests/test_datagram_searches.py
@@ -13,6 +13,7 @@
 
 from shedsill.datagram import _nodes
 from shedsill.datagram._events import ReportsListed
+from shedsill.datagram._messages import Roster, UpstreamState
 from shedsill.testing.datagrams import World
 from shedsill.testing.flow_peers import Caller
 
@@ -88,3 +89,66 @@
     view = world.nodes[B2].nodes.upstreams[FAR[0]]
     assert not view.lost
     assert not view.suspect
+
+
+@pytest.fixture
+def seeded() -> World:
+    """The same, where agents know the first balancer only."""
+    world = World(services=("dispatcher",), seeds=(B1,))
+    for host in NEAR:
+        world.add_agent(host, "dispatcher", first=True)
+    for host in FAR:
+        world.add_agent(host, "dispatcher", zone="z2", first=True)
+    for host in (B1, B2):
+        world.add_balancer(host)
+    world.run(12.0)
+    return world
+
+
+def leave(world: World, host: str) -> None:
+    """Have an upstream say that it ends, and its VM go 2 s later."""
+    world.resting.add(B2)
+    world.leave(host)
+    world.run(2.0)
+    world.cut.add(host)
+
+
+def test_all_balancers_are_told_of_an_upstream_that_ends(seeded: World) -> None:
+    seeded.resting.add(B2)
+    seeded.leave(FAR[0])
+    seeded.run(0.01)
+    view = seeded.nodes[B2].nodes.upstreams[FAR[0]]
+    assert view.report.state == UpstreamState.GONE
+
+
+def test_a_living_flow_is_found_though_an_agent_has_just_left(seeded: World) -> None:
+    """All agents were restarted, so that only upstreams know who holds the flow."""
+    caller = seeded.call("dispatcher", B1, requests=LONG)
+    seeded.run(1.0)
+    seeded.routers[caller.flow] = "nowhere"
+    for host in (*NEAR, *FAR):
+        seeded.kill(host)
+    seeded.run(0.2)
+    for host in (*NEAR, *FAR):
+        zone = "z1" if host in NEAR else "z2"
+        seeded.add_agent(host, "dispatcher", zone=zone)
+    seeded.run(11.0)
+    leave(seeded, FAR[0])
+    seeded.run(0.8)
+    answers = caller.answers
+    seeded.routers[caller.flow] = B2
+    seeded.run(0.7)
+    assert caller.answers > answers
+    assert not caller.outcome
+
+
+def test_an_upstream_that_ends_is_told_of_by_few(seeded: World) -> None:
+    """Messages grow with balancers, not with pairs of them."""
+    hosts = [f"10.0.1.{number}" for number in range(1, 9)]
+    for host in hosts:
+        seeded.add_balancer(host)
+    seeded.run(2.0)
+    before = seeded.count_messages(Roster)
+    seeded.leave(FAR[1])
+    seeded.run(0.05)
+    assert seeded.count_messages(Roster) - before <= 2 * (len(hosts) + 2)
