--- a/shedsill/datagram/_checkpointing.py
+++ b/shedsill/datagram/_checkpointing.py
@@ -177,7 +177,7 @@
     part = parts.get(source)
     if part is None or part.number != message.number:
         part = parts[source] = Part(message.number, now)
-    part.flows += message.flows
+    part.flows += message.flows[: MAX_FLOWS - len(part.flows)]
     return [SendMessage(source, CheckpointTaken())]
 
 
