--- a/shedsill/datagram/_roster.py
+++ b/shedsill/datagram/_roster.py
@@ -80,7 +80,7 @@
 
 
 def _relay(state: BalancerState, report: NodeReport) -> list[Effect]:
-    """Tell the other balancers of an agent that has just started.
+    """Tell the other balancers of an agent that has just started or is leaving.
 
     A new agent knows only the balancers among its seeds.  Those that have heard of
     it from others do not relay it again.
@@ -176,6 +176,9 @@
         elif view is not None:
             _nodes.suspect(view, event.now)
         state.nodes.balancers.pop(host, None)
+    if state.report.host in event.removed and state.stop_at is None:
+        # A removal by the last run of this balancer was carried out late.
+        effects.append(StoreReport(state.report))
     if event.whole and not state.nodes.listed:
         state.nodes.listed = True
         state.next_introduction = event.now
--- a/shedsill/tests/test_datagram_reading.py
+++ b/shedsill/tests/test_datagram_reading.py
@@ -111,6 +111,17 @@
     assert A2 in state.nodes.upstreams
 
 
+def test_a_report_that_was_removed_late_is_written_again(world: World) -> None:
+    """The last run's removal was under way when this run found its report."""
+    world.kill(B2)
+    world.add_balancer(B2)
+    world.run(0.1)
+    del world.stored[B2]
+    removed = ReportsListed(reports=(), removed=(B2,), now=world.now)
+    world._dispatch(B2, removed)
+    assert world.stored[B2].host == B2
+
+
 def count_readings(*, seconds: int, first: bool) -> int:
     """Count the watches of one balancer while reports change every second."""
     reading = Reading()
