--- a/shedsill/datagram/_runtime/agent.py
+++ b/shedsill/datagram/_runtime/agent.py
@@ -68,8 +68,8 @@
         assert settings.outbound is not None
         self._heartbeats = heartbeats
         self._upstream = settings.upstream
-        self._packets = self.open_datagrams(settings.packets, self._take_forwarded)
-        self._outbound = self.open_datagrams(settings.outbound, self._take_upstream)
+        self._packets = self.sockets.open(settings.packets, self._take_forwarded)
+        self._outbound = self.sockets.open(settings.outbound, self._take_upstream)
 
     def begin(self) -> None:
         """Make the agent known and take heartbeats."""
@@ -99,7 +99,7 @@
         match effect:
             case SendToUpstream(packet=packet, balancer=balancer):
                 data = self.codec.encode_for_upstream(packet, balancer)
-                self.send(self._packets, data, self._upstream.pair)
+                self.sockets.send(self._packets, data, self._upstream.pair)
             case SendToCaller(packet=packet):
                 self.send_to_caller(packet.flow, packet.data)
             case CheckUpstream():
--- a/shedsill/datagram/_runtime/balancer.py
+++ b/shedsill/datagram/_runtime/balancer.py
@@ -104,7 +104,7 @@
         self._checkpoints = CheckpointStore(
             self.platform, write_note=self.write_note, take=self._take_checkpoint
         )
-        self._packets = self.open_datagrams(settings.packets, self._take_packet)
+        self._packets = self.sockets.open(settings.packets, self._take_packet)
 
     def begin(self) -> None:
         """Start watching the store."""
@@ -140,7 +140,7 @@
         match effect:
             case ForwardPacket(host=host, packet=packet, service=service, route=route):
                 data = self.codec.encode_forwarded(packet, service, route)
-                self.send(self._packets, data, (host, self.settings.agent_port))
+                self.sockets.send(self._packets, data, (host, self.settings.agent_port))
             case PullTable(host=host):
                 if not self._pulling:
                     self._pulling = True
--- a/shedsill/datagram/_runtime/metrics.py
+++ b/shedsill/datagram/_runtime/metrics.py
@@ -7,20 +7,9 @@
 from __future__ import annotations
 
 import bisect
-from collections import Counter
 from collections.abc import Mapping
 
 from shedsill._catalogue import LogEvent
-from shedsill.coordination.platform import (
-    Call,
-    Delete,
-    Get,
-    List,
-    Outcome,
-    Platform,
-    Put,
-    Watch,
-)
 
 LATENCY_BOUNDS = (0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0)
 """Upper bounds in seconds; three to a decade, up to the callers' deadlines."""
@@ -61,72 +50,6 @@
         return lines
 
 
-class Traffic:
-    """What one node has asked of the store and told other nodes since its start.
-
-    Attributes
-    ----------
-    calls : Counter of str
-        Calls of the store by kind of call and object.
-    messages, octets : Counter of str
-        Messages sent to other nodes by class, and their octets.
-
-    Examples
-    --------
-    >>> traffic = Traffic()
-    >>> traffic.count_message("Probe", 2)
-    >>> traffic.format()[-1]
-    'shedsill_message_octets_total{message="Probe"} 2'
-    """
-
-    def __init__(self) -> None:
-        self.calls: Counter[str] = Counter()
-        self.messages: Counter[str] = Counter()
-        self.octets: Counter[str] = Counter()
-
-    def count_call(self, call: Call) -> None:
-        """Count one call of the store."""
-        match call:
-            case List(kinds=kinds) | Watch(kinds=kinds):
-                kind = ",".join(kinds)
-            case Get(kind=kind) | Put(kind=kind) | Delete(kind=kind):
-                pass
-            case _:
-                kind = ""
-        self.calls[f"{type(call).__name__.lower()} {kind}".strip()] += 1
-
-    def count_message(self, name: str, octets: int) -> None:
-        """Count one message to another node."""
-        self.messages[name] += 1
-        self.octets[name] += octets
-
-    def format(self) -> list[str]:
-        """Return the lines of the text form."""
-        calls = format_counters(
-            "shedsill_store_calls_total", "Calls of the store", "call", self.calls
-        )
-        messages = format_counters(
-            "shedsill_messages_total", "Messages sent", "message", self.messages
-        )
-        octets = format_counters(
-            "shedsill_message_octets_total", "Their octets", "message", self.octets
-        )
-        return [*calls, *messages, *octets]
-
-
-class CountedPlatform:
-    """Counts the calls that go to the platform's store."""
-
-    def __init__(self, platform: Platform, traffic: Traffic) -> None:
-        self._platform = platform
-        self._traffic = traffic
-
-    async def call(self, call: Call) -> Outcome:
-        """Count a call and carry it out."""
-        self._traffic.count_call(call)
-        return await self._platform.call(call)
-
-
 def format_counters(
     name: str, text: str, label: str, counts: Mapping[str, int]
 ) -> list[str]:
--- a/shedsill/datagram/_runtime/node.py
+++ b/shedsill/datagram/_runtime/node.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import os
 import signal
-import socket
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from typing import Any
 
 from shedsill._addresses import Address
@@ -51,27 +49,16 @@
 from shedsill.datagram._reducer import reduce
 from shedsill.datagram._runtime.http import Handler, Response, serve_http
 from shedsill.datagram._runtime.log import JsonLog
-from shedsill.datagram._runtime.metrics import (
-    CountedPlatform,
-    Histogram,
-    Traffic,
-    format_events,
-)
+from shedsill.datagram._runtime.metrics import Histogram, format_events
 from shedsill.datagram._runtime.reports import ReportWriter
+from shedsill.datagram._runtime.sockets import DatagramSockets, refuse_address
+from shedsill.datagram._runtime.traffic import CountedPlatform, Traffic
 from shedsill.datagram.adapter import NodeSettings, PacketCodec, SettingsSource
 from shedsill.errors import DecodeError, InvariantError, SettingError
 
 TICK_INTERVAL = 0.04
 """Seconds between ticks: half of the shortest limit that ticks watch over."""
 
-DATAGRAMS_PER_TURN = 128
-"""Datagrams read from one socket before others get their turn."""
-
-DATAGRAM_SIZE = 65_535
-
-SOCKET_BUFFER = 4 * 1024 * 1024
-"""Octets of datagrams that may wait while the VM is out of processor quota."""
-
 SETTINGS_INTERVAL = 1.0
 """Seconds between looks at whether the settings have changed."""
 
@@ -126,10 +113,13 @@
         self._loop = asyncio.get_running_loop()
         self._exited = asyncio.Event()
         self._servers: list[asyncio.Server] = []
-        self._sockets: list[socket.socket] = []
+        self.sockets = DatagramSockets(
+            write_note=self.write_note,
+            note_drained=lambda: self.dispatch(PacketsDrained(now=self.now)),
+        )
         self._tasks: set[asyncio.Task[None]] = set()
         self._platform_failed = False
-        self._messages = self.open_datagrams(settings.messages, self._take_message)
+        self._messages = self.sockets.open(settings.messages, self._take_message)
 
     @property
     def now(self) -> float:
@@ -212,9 +202,7 @@
             task.cancel()
         for server in self._servers:
             server.close()
-        for sock in self._sockets:
-            self._loop.remove_reader(sock)
-            sock.close()
+        self.sockets.close()
         self.log.flush()
 
     def _tick(self) -> None:
@@ -236,36 +224,6 @@
 
     # Input
 
-    def open_datagrams(
-        self, address: Address, take: Callable[[bytes, str], None]
-    ) -> socket.socket:
-        """Open a UDP socket whose datagrams go to `take` with their source."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        sock.setblocking(False)
-        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
-            sock.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER)
-        try:
-            sock.bind(address.pair)
-        except OSError as error:
-            raise _refuse_address(address, error) from error
-        self._loop.add_reader(sock, self._drain, sock, take)
-        self._sockets.append(sock)
-        return sock
-
-    def _drain(self, sock: socket.socket, take: Callable[[bytes, str], None]) -> None:
-        for _ in range(DATAGRAMS_PER_TURN):
-            try:
-                data, source = sock.recvfrom(DATAGRAM_SIZE)
-            except BlockingIOError:
-                break
-            except OSError as error:
-                # ICMP's word on an earlier datagram; silence is noticed elsewhere.
-                if error.errno != errno.ECONNREFUSED:
-                    self._note_send_failure(sock, error)
-                continue
-            take(data, source[0])
-        self.dispatch(PacketsDrained(now=self.now))
-
     def _take_message(self, data: bytes, source: str) -> None:
         try:
             message = decode_message(data)
@@ -292,7 +250,7 @@
         try:
             server = await serve_http(address, handler)
         except OSError as error:
-            raise _refuse_address(address, error) from error
+            raise refuse_address(address, error) from error
         self._servers.append(server)
 
     def answer_status(self, method: str, path: str, body: bytes) -> Response:
@@ -349,7 +307,7 @@
                 octets = encode_message(message)
                 self.traffic.count_message(type(message).__name__, len(octets))
                 target = (host, self.settings.messages.port)
-                self.send(self._messages, octets, target)
+                self.sockets.send(self._messages, octets, target)
             case ResetFlow(flow=flow, seq=seq):
                 self.send_to_caller(flow, self.codec.encode_reset(flow, seq))
             case ObserveLatency(seconds=seconds):
@@ -370,18 +328,7 @@
     def send_to_caller(self, flow: bytes, data: bytes) -> None:
         """Send a packet to the caller of a flow."""
         target = (self.codec.get_caller(flow), self.settings.caller_port)
-        self.send(self._messages, data, target)
-
-    def send(self, sock: socket.socket, data: bytes, target: tuple[str, int]) -> None:
-        """Send a datagram; one that cannot be sent is lost, as any may be."""
-        try:
-            sock.sendto(data, target)
-        except OSError as error:
-            self._note_send_failure(sock, error)
-
-    def _note_send_failure(self, sock: socket.socket, error: OSError) -> None:
-        fields = {"socket": str(sock.getsockname()), "error": str(error)}
-        self.write_note(Note(event=LogEvent.SEND_FAILED, fields=fields))
+        self.sockets.send(self._messages, data, target)
 
     def write_note(self, note: Note) -> None:
         """Count a note and queue its log line."""
@@ -410,11 +357,6 @@
         self._platform_failed = failure is not None
 
 
-def _refuse_address(address: Address, error: OSError) -> SettingError:
-    allowed = f"an address that is free on this VM ({error.strerror})"
-    return SettingError("listen address", str(address), allowed)
-
-
 def draw_incarnation() -> int:
     """Draw the number of this start of the process."""
     return int.from_bytes(os.getrandom(6), "big")
--- /dev/null
+++ b/shedsill/datagram/_runtime/sockets.py
@@ -0,0 +1,100 @@
+"""The UDP sockets of one node."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+from collections.abc import Callable
+
+from shedsill._addresses import Address
+from shedsill._catalogue import LogEvent
+from shedsill._shared_effects import Note
+from shedsill.errors import SettingError
+
+DATAGRAMS_PER_TURN = 128
+"""Datagrams read from one socket before others get their turn."""
+
+DATAGRAM_SIZE = 65_535
+
+SOCKET_BUFFER = 4 * 1024 * 1024
+"""Octets of datagrams that may wait while the VM is out of processor quota."""
+
+
+class DatagramSockets:
+    """Reads and writes datagrams.
+
+    Parameters
+    ----------
+    write_note : callable
+        Gets what went wrong.
+    note_drained : callable
+        Called when no datagram is left to be read for the moment.
+    """
+
+    def __init__(
+        self, *, write_note: Callable[[Note], None], note_drained: Callable[[], None]
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._write_note = write_note
+        self._note_drained = note_drained
+        self._sockets: list[socket.socket] = []
+
+    def open(
+        self, address: Address, take: Callable[[bytes, str], None]
+    ) -> socket.socket:
+        """Open a socket whose datagrams go to `take` with their source.
+
+        Raises
+        ------
+        SettingError
+            If the address cannot be used.
+        """
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.setblocking(False)
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            sock.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER)
+        try:
+            sock.bind(address.pair)
+        except OSError as error:
+            raise refuse_address(address, error) from error
+        self._loop.add_reader(sock, self._drain, sock, take)
+        self._sockets.append(sock)
+        return sock
+
+    def _drain(self, sock: socket.socket, take: Callable[[bytes, str], None]) -> None:
+        for _ in range(DATAGRAMS_PER_TURN):
+            try:
+                data, source = sock.recvfrom(DATAGRAM_SIZE)
+            except BlockingIOError:
+                break
+            except OSError as error:
+                # ICMP's word on an earlier datagram; silence is noticed elsewhere.
+                if error.errno != errno.ECONNREFUSED:
+                    self._note_failure(sock, error)
+                continue
+            take(data, source[0])
+        self._note_drained()
+
+    def send(self, sock: socket.socket, data: bytes, target: tuple[str, int]) -> None:
+        """Send a datagram; one that cannot be sent is lost, as any may be."""
+        try:
+            sock.sendto(data, target)
+        except OSError as error:
+            self._note_failure(sock, error)
+
+    def _note_failure(self, sock: socket.socket, error: OSError) -> None:
+        fields = {"socket": str(sock.getsockname()), "error": str(error)}
+        self._write_note(Note(event=LogEvent.SEND_FAILED, fields=fields))
+
+    def close(self) -> None:
+        """Close all sockets."""
+        for sock in self._sockets:
+            self._loop.remove_reader(sock)
+            sock.close()
+
+
+def refuse_address(address: Address, error: OSError) -> SettingError:
+    """Return the error of an address that this VM cannot listen at."""
+    allowed = f"an address that is free on this VM ({error.strerror})"
+    return SettingError("listen address", str(address), allowed)
