--- a/shedsill/tests/test_datagram_searches.py
+++ b/shedsill/tests/test_datagram_searches.py
@@ -152,3 +152,12 @@
     seeded.leave(FAR[1])
     seeded.run(0.05)
     assert seeded.count_messages(Roster) - before <= 2 * (len(hosts) + 2)
+
+
+def test_an_agent_that_leaves_is_given_up_before_anyone_searches(
+    seeded: World,
+) -> None:
+    """Nothing at this balancer depends on it; it is asked because it is leaving."""
+    leave(seeded, FAR[0])
+    seeded.run(_nodes.SILENT_AFTER + _nodes.LOST_AFTER / 2)
+    assert seeded.nodes[B2].nodes.upstreams[FAR[0]].lost
