--- a/shedsill/datagram/_checkpointing.py
+++ b/shedsill/datagram/_checkpointing.py
@@ -56,8 +56,8 @@
 """Flows in one message; up to 64 octets each, so that they fit a packet."""
 
 MAX_FLOWS = 4000
-"""Flows in one checkpoint, the latest first; about 110 octets each in the store, whose
-values may be of 1 MB."""
+"""Flows in one checkpoint, of each balancer the latest ones; about 110 octets each in
+the store, whose values may be of 1 MB."""
 
 
 def choose_collector(state: BalancerState, now: float) -> str:
