--- a/properties/soak.py
+++ b/properties/soak.py
@@ -71,6 +71,7 @@
     24: "as 12",
     30: "as 12",
     37: "as 12",
+    41: "an agent took a caller's packet for its choice of an upstream that had ended",
 }
 """Seeds that have failed once, with the cause."""
 
--- a/shedsill/datagram/_agent_packets.py
+++ b/shedsill/datagram/_agent_packets.py
@@ -64,7 +64,9 @@
     if flow.phase == Phase.HALF_OPEN and unchosen:
         del state.flows[packet.flow]
         return return_packet(state, packet, event.balancer, ReturnReason.NOT_HELD, now)
-    flow.phase = Phase.OPEN
+    if flow.initial_seq is not None:
+        # Before its upstream has answered, the caller may have chosen another one.
+        flow.phase = Phase.OPEN
     flow.seen = now
     flow.balancer = event.balancer
     flow.caller_ack = packet.ack
--- a/shedsill/testing/flow_peers.py
+++ b/shedsill/testing/flow_peers.py
@@ -250,5 +250,8 @@
 
     def _take_reset(self) -> None:
         if self.open and self.is_held(self.flow):
-            raise OracleError("a flow was reset while its upstream holds it")
+            port = self.address[1]
+            raise OracleError(
+                f"flow of port {port} was reset while an upstream holds it"
+            )
         self.outcome = "reset"
--- a/shedsill/tests/test_datagram_restarts.py
+++ b/shedsill/tests/test_datagram_restarts.py
@@ -127,3 +127,32 @@
     world.upstreams[A1].flows.clear()
     world.run(0.3)
     assert caller.outcome == "reset"
+
+
+A2 = "10.1.0.2"
+
+
+def test_a_flow_that_chose_another_upstream_is_not_reset_by_this_one(
+    world: World,
+) -> None:
+    """Found by the soak (seed 41): the word of who took the flow came late.
+
+    The balancer did not know yet whom its caller had chosen, and gave the first packet
+    to both agents that had been offered the flow.  One's upstream had ended without an
+    answer; its next run made the agent reset a flow that lived at the other one.
+    """
+    world.add_agent(A2, "dispatcher", first=True)
+    world.run(3.0)
+    world.crash_upstream(A1)
+    world.nodes[B1].nodes.upstreams[A2].refused_until = world.now + 0.05
+    caller = world.call("dispatcher", B1, requests=LONG)
+    world.run(0.05)
+    assert A1 in world.nodes[B1].flows[caller.flow].offered
+    world.is_lost = lambda source, host: (source, host) == (A2, B1)
+    world.run(0.15)
+    assert world.find_holder(caller) == A2
+    world.is_lost = lambda source, host: False
+    world.start_upstream(A1, "dispatcher")
+    world._send_beat(A1)
+    world.run(6.0)
+    assert caller.outcome == "answered"
