--- a/shedsill/coordination/watch.py
+++ b/shedsill/coordination/watch.py
@@ -108,23 +108,28 @@
     backoff = backoff or Backoff()
     revision: int | None = None
     failures = 0
-    hurried: float | None = None
+    short_patience: float | None = None
     while True:
         if revision is None:
             outcome = await platform.call(List(kinds=(kind,)))
         else:
             outcome = await platform.call(
-                Watch(kinds=(kind,), revision=revision, patience=hurried or patience())
+                Watch(
+                    kinds=(kind,),
+                    revision=revision,
+                    patience=short_patience or patience(),
+                )
             )
-        was_hurried, hurried = hurried is not None, None
+        was_short = short_patience is not None
+        short_patience = None
         match outcome:
             case Listing() | Changed():
                 failures = 0
                 revision = outcome.revision
                 yield outcome
                 is_news = isinstance(outcome, Listing) or outcome.names
-                if rest is not None and (is_news or was_hurried):
-                    hurried = await rest()
+                if rest is not None and (is_news or was_short):
+                    short_patience = await rest()
             case HistoryGone():
                 revision = None
             case Unavailable():
--- a/shedsill/datagram/_roster.py
+++ b/shedsill/datagram/_roster.py
@@ -202,8 +202,8 @@
     """Keep a report of this balancer in the store.
 
     One of an earlier run is as good: others take from it that there is a balancer at
-    this host.  It also tells that this run ended without notice, for it would have
-    removed its report, so that nobody may know the flows that were open then.
+    this host.  It also tells that the earlier run ended without notice, since a planned
+    stop removes the report; nobody may remember the flows that were open then.
     """
     own = next((r for r in reports if r.host == state.report.host), None)
     if own is None:
