--- a/shedsill/datagram/_balancer.py
+++ b/shedsill/datagram/_balancer.py
@@ -37,6 +37,7 @@
     PacketReturned,
     Probe,
     Roster,
+    split,
 )
 from shedsill.datagram._packet import FIN, RST, Packet, is_opening
 from shedsill.datagram._pauses import measure_pause
@@ -173,10 +174,7 @@
 def _answer_probe(state: BalancerState, source: str) -> list[Effect]:
     reports = [v.report for v in state.nodes.upstreams.values() if not v.lost]
     reports += state.nodes.balancers.values()
-    chunks = [
-        reports[start : start + REPORTS_PER_MESSAGE]
-        for start in range(0, max(len(reports), 1), REPORTS_PER_MESSAGE)
-    ]
+    chunks = split(reports, REPORTS_PER_MESSAGE)
     return [
         SendMessage(source, Announcement(report=state.report)),
         *(
--- a/shedsill/datagram/_checkpointing.py
+++ b/shedsill/datagram/_checkpointing.py
@@ -21,7 +21,12 @@
 from shedsill.datagram._checkpoints import Checkpoints, Part
 from shedsill.datagram._effects import Effect, SendMessage, StoreCheckpoint
 from shedsill.datagram._events import CheckpointRead
-from shedsill.datagram._messages import CheckpointPart, CheckpointTaken, OpenFlow
+from shedsill.datagram._messages import (
+    CheckpointPart,
+    CheckpointTaken,
+    OpenFlow,
+    split,
+)
 from shedsill.datagram._packet import SEQUENCE_SPACE, measure_advance
 
 INTERVAL = 2.0
@@ -73,6 +78,11 @@
     return min(others)
 
 
+def is_collector(state: BalancerState, now: float) -> bool:
+    """Whether this balancer is the collector, as far as it knows."""
+    return choose_collector(state, now) == state.report.host
+
+
 def take_tick(state: BalancerState, now: float) -> list[Effect]:
     """Tell the collector of the open flows, or store what it was told."""
     checkpoints = state.checkpoints
@@ -99,20 +109,16 @@
 
 
 def _send(collector: str, number: int, flows: list[OpenFlow]) -> list[Effect]:
-    chunks = [
-        flows[start : start + FLOWS_PER_MESSAGE]
-        for start in range(0, max(len(flows), 1), FLOWS_PER_MESSAGE)
-    ]
     return [
-        SendMessage(collector, CheckpointPart(number=number, flows=chunk))
-        for chunk in chunks
+        SendMessage(collector, CheckpointPart(number=number, flows=part))
+        for part in split(flows, FLOWS_PER_MESSAGE)
     ]
 
 
 def _list_open(state: BalancerState, now: float) -> list[OpenFlow]:
     """Return the flows whose callers may be waiting for an answer."""
     kept = [
-        (flow.seen, key, flow)
+        (key, flow)
         for key, flow in state.flows.items()
         if flow.host
         and flow.boot
@@ -121,7 +127,8 @@
         and now - flow.seen <= ACTIVE_WITHIN
     ]
     if len(kept) > MAX_FLOWS:
-        kept = sorted(kept, key=lambda entry: entry[0])[-MAX_FLOWS:]
+        kept.sort(key=lambda entry: entry[1].seen)
+        del kept[:-MAX_FLOWS]
     return [
         OpenFlow(
             flow=key,
@@ -130,7 +137,7 @@
             boot=flow.boot,
             caller_ack=flow.caller_ack,
         )
-        for _seen, key, flow in kept
+        for key, flow in kept
     ]
 
 
--- a/shedsill/datagram/_locating.py
+++ b/shedsill/datagram/_locating.py
@@ -20,7 +20,7 @@
     reset_flows,
 )
 from shedsill.datagram._effects import Effect, ResetFlow, SendMessage
-from shedsill.datagram._messages import Locate, Located, NodeReport
+from shedsill.datagram._messages import Locate, Located, NodeReport, split
 from shedsill.datagram._packet import RST, Packet
 from shedsill.datagram._searches import Phase, Search
 from shedsill.datagram._selection import prefer_hosts
@@ -324,9 +324,9 @@
     asked = {host: [*dict.fromkeys(f)] for host, f in state.to_locate.items()}
     state.to_locate = {}
     return [
-        SendMessage(host, Locate(flows=flows[start : start + FLOWS_PER_QUESTION]))
+        SendMessage(host, Locate(flows=part))
         for host, flows in asked.items()
-        for start in range(0, len(flows), FLOWS_PER_QUESTION)
+        for part in split(flows, FLOWS_PER_QUESTION)
     ]
 
 
--- a/shedsill/datagram/_messages.py
+++ b/shedsill/datagram/_messages.py
@@ -9,12 +9,15 @@
 from __future__ import annotations
 
 import enum
+from typing import TypeVar
 
 import msgspec
 from msgspec import Struct, field
 
 from shedsill.errors import DecodeError
 
+T = TypeVar("T")
+
 
 class Role(enum.Enum):
     """What a node does."""
@@ -270,6 +273,20 @@
 _ENCODER = msgspec.msgpack.Encoder()
 
 
+def split(items: list[T], size: int) -> list[list[T]]:
+    """Return a list in parts of at most `size`; one empty part where there is nothing.
+
+    Examples
+    --------
+    >>> split([1, 2, 3], 2)
+    [[1, 2], [3]]
+    >>> split([], 2)
+    [[]]
+    """
+    starts = range(0, max(len(items), 1), size)
+    return [items[start : start + size] for start in starts]
+
+
 def encode_message(message: Message) -> bytes:
     """Return the octets of a message.
 
--- a/shedsill/datagram/_roster.py
+++ b/shedsill/datagram/_roster.py
@@ -75,8 +75,8 @@
     Its agent has told the seeds, and those that dealt with it lately.  If all of them
     passed it on, there would be as many messages as pairs of balancers.
     """
-    is_collector = _checkpointing.choose_collector(state, now) == state.report.host
-    return is_collector or state.report.host in state.seeds
+    is_seed = state.report.host in state.seeds
+    return is_seed or _checkpointing.is_collector(state, now)
 
 
 def _relay(state: BalancerState, report: NodeReport) -> list[Effect]:
@@ -164,21 +164,13 @@
     """Take in the reports that the store holds."""
     unknown = _list_unknown(state, event.reports)
     effects = take_reports(state, event.reports, event.now)
-    is_first = _checkpointing.choose_collector(state, event.now) == state.report.host
+    is_first = _checkpointing.is_collector(state, event.now)
     if is_first and state.nodes.listed:
         for report in unknown:
             effects += _relay(state, report)
     _reading.note_read(state.reading, event.now, unknown=bool(unknown), first=is_first)
     for host in event.removed:
-        view = state.nodes.upstreams.get(host)
-        if view is not None and _has_left(view):
-            effects += _forget_upstream(state, host)
-        elif view is not None:
-            _nodes.suspect(view, event.now)
-        state.nodes.balancers.pop(host, None)
-    if state.report.host in event.removed and state.stop_at is None:
-        # A removal by the last run of this balancer was carried out late.
-        effects.append(StoreReport(state.report))
+        effects += _take_removed(state, host, event.now)
     if event.whole and not state.nodes.listed:
         state.nodes.listed = True
         state.next_introduction = event.now
@@ -187,6 +179,21 @@
     return effects + _locating.conclude_denied(state)
 
 
+def _take_removed(state: BalancerState, host: str, now: float) -> list[Effect]:
+    """Take in that a node's report was removed from the store."""
+    if host == state.report.host and state.stop_at is None:
+        # A removal by the last run of this balancer was carried out late.
+        return [StoreReport(state.report)]
+    state.nodes.balancers.pop(host, None)
+    view = state.nodes.upstreams.get(host)
+    if view is None:
+        return []
+    if _has_left(view):
+        return _forget_upstream(state, host)
+    _nodes.suspect(view, now)
+    return []
+
+
 def _list_unknown(
     state: BalancerState, reports: tuple[NodeReport, ...]
 ) -> list[NodeReport]:
--- a/shedsill/datagram/_runtime/node.py
+++ b/shedsill/datagram/_runtime/node.py
@@ -15,20 +15,11 @@
 from shedsill.datagram._agent_state import AgentState
 from shedsill.datagram._balancer_state import BalancerState
 from shedsill.datagram._effects import (
-    CheckUpstream,
     Effect,
-    ForgetReport,
-    ForwardPacket,
     ObserveLatency,
-    PullTable,
-    ReadCheckpoint,
-    ReadReports,
     RemoveReport,
     ResetFlow,
     SendMessage,
-    SendToCaller,
-    SendToUpstream,
-    StoreCheckpoint,
     StoreReport,
 )
 from shedsill.datagram._events import (
@@ -318,11 +309,7 @@
                 self.reports.remove(report)
             case Exit():
                 self._exited.set()
-            case ForwardPacket() | SendToUpstream() | SendToCaller():
-                raise InvariantError(f"wrong role for {type(effect).__name__}")
-            case CheckUpstream() | PullTable() | ForgetReport():
-                raise InvariantError(f"wrong role for {type(effect).__name__}")
-            case StoreCheckpoint() | ReadCheckpoint() | ReadReports():
+            case _:
                 raise InvariantError(f"wrong role for {type(effect).__name__}")
 
     def send_to_caller(self, flow: bytes, data: bytes) -> None:
--- a/shedsill/datagram/_runtime/tables.py
+++ b/shedsill/datagram/_runtime/tables.py
@@ -15,9 +15,9 @@
 from shedsill.errors import DecodeError
 
 TABLE_RATE = 100_000
-"""Octets of tables a second that one balancer sends to others: a sixth of the thinnest
-link described, 5 Mbit/s.  Without it 22 readers of a table of 255,475 octets kept a
-balancer on 10 Mbit/s from hearing of any agent for 5 s."""
+"""Octets of tables a second that one balancer sends to others: a sixth of a link of
+5 Mbit/s, which carries the nodes' small messages too.  Measured without it: 22 readers
+of 255,475 octets each kept a balancer on 10 Mbit/s from hearing any agent for 5 s."""
 
 COMPRESSION_LEVEL = 1
 """The fastest; it makes a table of 256,548 octets with random names 12 times smaller
--- a/shedsill/datagram/_selection.py
+++ b/shedsill/datagram/_selection.py
@@ -39,7 +39,7 @@
 
 FRESH_FOR = 0.2
 """Seconds over which a reported count of busy requests gives way to its
-average: requests of these services take 0.05 to 0.1 s."""
+average: longer than a short request of 0.05 to 0.1 s takes."""
 
 REFUSAL_PAUSE = 0.3
 """Seconds without openings for an upstream that has refused one: it is leaving,
