--- a/benchmarks/ledger.py
+++ b/benchmarks/ledger.py
@@ -16,13 +16,13 @@
 import math
 import pathlib
 import random
-import re
 import statistics
 import tomllib
 
 import click
 from attrs import define, frozen
 
+from benchmarks.logs import print_figures, read_lines, sum_figures
 from shedsill.datagram._backlog import (
     Backlog,
     Forecast,
@@ -32,7 +32,6 @@
 )
 from shedsill.datagram._packet import COPY_DELAYS
 
-LINE = re.compile(r"\s*(-?[\d.]+) (\S+) (\{.*)")
 WINDOW = 2.0
 """Seconds of the bench's windows."""
 
@@ -292,73 +291,14 @@
     counts: dict[int, collections.Counter] = collections.defaultdict(
         collections.Counter
     )
-    for line in path.open():
-        match = LINE.match(line)
-        if match is None:
-            continue
-        try:
-            entry = json.loads(match[3])
-        except json.JSONDecodeError:
-            continue
-        window = counts[int(float(match[1]) / WINDOW)]
-        window[entry["name"]] += 1
-        if entry["name"] == "request_passed_on":
-            window["held seconds"] += entry["held_ms"] / 1000
+    for line in read_lines(path):
+        window = counts[int(line.at / WINDOW)]
+        window[line.name] += 1
+        if line.name == "request_passed_on":
+            window["held seconds"] += line.fields["held_ms"] / 1000
     return counts
 
 
-def sum_figures(path: pathlib.Path) -> dict[tuple[str, str], collections.Counter]:
-    """Sum what all nodes asked of the store and told each other, by role.
-
-    Nodes log their counts every few seconds; the last ones before a node's end or
-    restart count, so that what it did after them is missing.
-
-    Returns
-    -------
-    dict
-        Counts by kind, for each pair of a role and ``calls``, ``messages`` or
-        ``octets``.
-    """
-    roles: dict[str, str] = {}
-    latest: dict[str, dict] = {}
-    sums: dict[tuple[str, str], collections.Counter] = collections.defaultdict(
-        collections.Counter
-    )
-
-    def settle(node: str) -> None:
-        for group, counts in latest.pop(node, {}).items():
-            sums[roles.get(node, "?"), group].update(counts)
-
-    for line in path.open(errors="replace"):
-        match = LINE.match(line)
-        if match is None or '"node_' not in line:
-            continue
-        try:
-            entry = json.loads(match[3])
-        except json.JSONDecodeError:
-            continue
-        node = match[2]
-        if entry["name"] == "node_started":
-            settle(node)
-            roles[node] = entry["role"]
-        elif entry["name"] == "node_figures":
-            latest[node] = {k: entry[k] for k in ("calls", "messages", "octets")}
-    for node in list(latest):
-        settle(node)
-    return sums
-
-
-def print_figures(sums: dict[tuple[str, str], collections.Counter]) -> None:
-    """Print calls of the store by kind, and messages with their octets."""
-    for (role, group), counts in sorted(sums.items()):
-        if group == "octets":
-            continue
-        octets = sums[role, "octets"]
-        for name, count in counts.most_common():
-            cell = f"  {octets[name] / 1000:8.0f} kB" if group == "messages" else ""
-            click.echo(f"  {role:9} {group:8} {name:24} {count:7}{cell}")
-
-
 def print_windows(report: dict, log: dict[int, collections.Counter]) -> None:
     """Print the windows in which more than one in fifty was not in time."""
     events = ("node_started", "flow_offered", "request_held", "request_passed_on")
--- a/shedsill/tests/test_datagram_searches.py
+++ b/shedsill/tests/test_datagram_searches.py
@@ -25,16 +25,21 @@
 """Seconds after which an agent that is gone delays no caller any more."""
 
 
-@pytest.fixture
-def world() -> World:
-    """Two balancers in one zone; upstreams there and in another one."""
-    world = World(services=("dispatcher",))
+def make_world(*seeds: str) -> World:
+    """Return two balancers in one zone, and upstreams there and in another one."""
+    world = World(services=("dispatcher",), seeds=seeds)
     for host in NEAR:
         world.add_agent(host, "dispatcher", first=True)
     for host in FAR:
         world.add_agent(host, "dispatcher", zone="z2", first=True)
     for host in (B1, B2):
         world.add_balancer(host)
+    return world
+
+
+@pytest.fixture
+def world() -> World:
+    world = make_world()
     world.run(3.0)
     return world
 
@@ -94,13 +99,7 @@
 @pytest.fixture
 def seeded() -> World:
     """The same, where agents know the first balancer only."""
-    world = World(services=("dispatcher",), seeds=(B1,))
-    for host in NEAR:
-        world.add_agent(host, "dispatcher", first=True)
-    for host in FAR:
-        world.add_agent(host, "dispatcher", zone="z2", first=True)
-    for host in (B1, B2):
-        world.add_balancer(host)
+    world = make_world(B1)
     world.run(12.0)
     return world
 
