--- a/properties/soak.py
+++ b/properties/soak.py
@@ -10,8 +10,8 @@
 request must be answered, and no request may have run on two upstreams.
 
 All messages between nodes, forwarded packets and calls of the store go through
-loopback proxies.  The nodes' decisions read no time of day and keep nothing on
-storage, so there are no faults of clocks and storage.
+loopback proxies.  The nodes keep nothing on storage, and read the time of day only for
+the age of a checkpoint, so there are no faults of clocks and storage.
 """
 
 from __future__ import annotations
