--- /dev/null
+++ b/shedsill/testing/nodes.py
@@ -0,0 +1,42 @@
+"""Settings for nodes that tests start in their own process."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from shedsill._addresses import Address
+from shedsill.datagram._messages import Role
+from shedsill.datagram.adapter import NodeSettings
+
+__all__ = ["PORTS", "make_settings"]
+
+PORTS = 4
+"""Ports that every node needs: packets, messages, other nodes' packets, status."""
+
+
+def make_settings(
+    host: str, role: Role, ports: list[int], **fields: Any
+) -> NodeSettings:
+    """Return the settings of a node on a loopback address.
+
+    Parameters
+    ----------
+    ports : list of int
+        At least `PORTS` free ones.
+    **fields
+        Other fields of `NodeSettings`.
+    """
+    packets, messages, other, status = ports[:PORTS]
+    return NodeSettings(
+        name=host,
+        role=role,
+        host=host,
+        zone="z",
+        packets=Address(host, packets),
+        messages=Address(host, messages),
+        agent_port=other,
+        caller_port=other,
+        status=Address(host, status),
+        readiness_path="/ready",
+        **fields,
+    )
--- a/shedsill/tests/test_datagram_heartbeats.py
+++ b/shedsill/tests/test_datagram_heartbeats.py
@@ -22,10 +22,10 @@
     take_earlier_report,
     take_heartbeat,
 )
-from shedsill.datagram.adapter import NodeSettings
 from shedsill.platform.heartbeats import InstanceCalls
 from shedsill.testing.agents import make_agent_state
 from shedsill.testing.flow_peers import CODEC, make_packet
+from shedsill.testing.nodes import PORTS, make_settings
 from shedsill.testing.ports import find_ports
 
 SLOTS = 2
@@ -164,21 +164,14 @@
 
 async def answer_heartbeats(*beats: tuple[str, int, str]) -> list[int]:
     """Send heartbeats to an agent's server; return the statuses of its answers."""
-    host, ports = "127.0.0.4", find_ports(5)
-    settings = NodeSettings(
-        name="side-1",
-        role=Role.AGENT,
-        host=host,
-        zone="z",
-        packets=Address(host, ports[0]),
-        messages=Address(host, ports[1]),
-        agent_port=ports[0],
-        caller_port=ports[2],
-        status=Address(host, ports[2]),
-        readiness_path="/ready",
+    host, ports = "127.0.0.4", find_ports(PORTS + 2)
+    settings = make_settings(
+        host,
+        Role.AGENT,
+        ports,
         service="dispatcher",
-        upstream=Address(host, ports[3]),
-        outbound=Address(host, ports[4]),
+        upstream=Address(host, ports[PORTS]),
+        outbound=Address(host, ports[PORTS + 1]),
     )
     node = make_agent(
         settings,
--- a/shedsill/tests/test_datagram_tables.py
+++ b/shedsill/tests/test_datagram_tables.py
@@ -8,7 +8,6 @@
 import msgspec
 import pytest
 
-from shedsill._addresses import Address
 from shedsill._catalogue import LogEvent
 from shedsill.coordination.platform import MemoryPlatform
 from shedsill.datagram._messages import Role
@@ -20,10 +19,10 @@
     pack_table,
     unpack_table,
 )
-from shedsill.datagram.adapter import NodeSettings
 from shedsill.errors import DecodeError
 from shedsill.platform.manifest import TABLE_SOURCE
 from shedsill.platform.packets import HeadCodec
+from shedsill.testing.nodes import PORTS, make_settings
 from shedsill.testing.ports import find_ports
 
 ROUTES = 1_646
@@ -107,18 +106,7 @@
 
 def make_node(host: str, ports: list[int]) -> BalancerNode:
     """Return a balancer on a loopback address, with nothing in its store."""
-    settings = NodeSettings(
-        name=host,
-        role=Role.BALANCER,
-        host=host,
-        zone="z",
-        packets=Address(host, ports[0]),
-        messages=Address(host, ports[1]),
-        agent_port=ports[2],
-        caller_port=ports[2],
-        status=Address(host, ports[3]),
-        readiness_path="/ready",
-    )
+    settings = make_settings(host, Role.BALANCER, ports)
     return make_balancer(
         settings,
         source=None,  # type: ignore[arg-type]
@@ -130,7 +118,7 @@
 
 async def pull_tables(pulls: int) -> tuple[BalancerNode, BalancerNode]:
     """Have a balancer read another one's table, some times at once."""
-    ports = find_ports(4)
+    ports = find_ports(PORTS)
     ahead, behind = (make_node(host, ports) for host in ("127.0.0.2", "127.0.0.3"))
     await ahead.serve(ahead.settings.messages, ahead._answer_peer)
     ahead._offer_table(make_table(ROUTES), "store")
