--- a/shedsill/datagram/_balancer.py
+++ b/shedsill/datagram/_balancer.py
@@ -103,6 +103,11 @@
         flow.closed = True
     if flow.host:
         return [forward_packet(state, flow.host, flow.service, packet)]
+    if not _flow_placement.list_possible_hosts(flow, packet):
+        # The caller acknowledges an answer to a SYN that another balancer forwarded.
+        del state.flows[packet.flow]
+        state.pending_flows.pop(packet.flow, None)
+        return _flow_search.search_flow(state, packet, event.now)
     return _flow_placement.assign_flow(state, flow, packet)
 
 
--- a/shedsill/datagram/_flow_placement.py
+++ b/shedsill/datagram/_flow_placement.py
@@ -135,20 +135,30 @@
     return _offer_flow(state, flow, packet, route, now)
 
 
+def list_possible_hosts(flow: BalancerFlow, packet: Packet) -> list[str]:
+    """Return the agents that may hold the flow of a caller's packet.
+
+    That is the agent whose upstream's answer the caller acknowledges, or those that
+    have not reported an answer to the offered SYN.
+    """
+    unanswered = []
+    for host, initial_seq in flow.offered.items():
+        if initial_seq is None:
+            unanswered.append(host)
+        elif is_ack_in_window(packet, initial_seq):
+            return [host]
+    return unanswered
+
+
 def assign_flow(
     state: BalancerState, flow: BalancerFlow, packet: Packet
 ) -> list[Effect]:
-    """Assign a flow to the upstream whose answer the caller acknowledges."""
+    """Forward a packet to the agents that may hold its flow, and assign a single one."""
     state.pending_flows.pop(packet.flow, None)
-    for host, initial_seq in flow.offered.items():
-        if initial_seq is None:
-            continue
-        if is_ack_in_window(packet, initial_seq):
-            _assign_host(state, flow, host)
-            return [forward_packet(state, host, flow.service, packet)]
-    if len(flow.offered) == 1:
-        _assign_host(state, flow, next(iter(flow.offered)))
-    return [forward_packet(state, host, flow.service, packet) for host in flow.offered]
+    hosts = list_possible_hosts(flow, packet)
+    if len(hosts) == 1:
+        _assign_host(state, flow, hosts[0])
+    return [forward_packet(state, host, flow.service, packet) for host in hosts]
 
 
 def _assign_host(state: BalancerState, flow: BalancerFlow, host: str) -> None:
--- a/shedsill/datagram/_membership.py
+++ b/shedsill/datagram/_membership.py
@@ -297,6 +297,8 @@
 def _reset_agent_flows(state: BalancerState, host: str, reason: str) -> list[Effect]:
     """Reset the flows of an agent that has ended, and remove it from searches."""
     keys = [key for key, flow in state.flows.items() if flow.host == host]
+    for flow in state.flows.values():
+        flow.offered.pop(host, None)
     effects = reset_flows(state, keys, host, reason)
     return effects + _flow_search.remove_host_from_searches(state, host)
 
--- a/shedsill/tests/test_datagram_searches.py
+++ b/shedsill/tests/test_datagram_searches.py
@@ -9,11 +9,12 @@
 
 from shedsill.datagram import _failure_detection
 from shedsill.datagram._events import ReportsListed
+from shedsill.datagram._flow_placement import MAX_OFFERS
 from shedsill.datagram._messages import Roster, UpstreamState
 from shedsill.testing.datagram_simulation import Simulation
 from shedsill.testing.flow_endpoints import Caller
 
-BALANCER_1, BALANCER_2 = "10.0.0.1", "10.0.0.2"
+BALANCER_1, BALANCER_2, BALANCER_3 = "10.0.0.1", "10.0.0.2", "10.0.0.3"
 LOCAL_AGENTS = ("10.1.0.1", "10.1.0.2")
 REMOTE_AGENTS = ("10.2.0.1", "10.2.0.2", "10.2.0.3")
 MANY_REQUESTS = 1000
@@ -171,3 +172,55 @@
         + _failure_detection.LOST_AFTER_SECONDS / 2
     )
     assert seeded_simulation.nodes[BALANCER_2].nodes.upstreams[REMOTE_AGENTS[0]].lost
+
+
+def test_flow_placed_elsewhere_is_searched_where_its_syn_found_no_upstream(
+    simulation: Simulation,
+) -> None:
+    """A record without any upstream swallows all later packets of the flow."""
+    simulation.store_available = False
+    simulation.add_balancer(BALANCER_3)
+    caller = simulation.add_caller("dispatcher", BALANCER_3, requests=MANY_REQUESTS)
+    simulation.run(0.15)
+    assert not simulation.nodes[BALANCER_3].flows[caller.flow].offered
+    simulation.balancer_by_flow[caller.flow] = BALANCER_1
+    simulation.run(0.0515)
+    simulation.balancer_by_flow[caller.flow] = BALANCER_3
+    simulation.run(0.1)
+    assert caller.is_open
+    simulation.restore_store()
+    simulation.run(1.0)
+    assert caller.answers > 0
+    assert not caller.outcome
+
+
+def test_flow_placed_elsewhere_is_searched_after_offered_upstreams_were_lost() -> None:
+    """Agents that were offered the SYN and never answered hold back a search."""
+    simulation = Simulation(services=("dispatcher",))
+    failed = (*LOCAL_AGENTS, *REMOTE_AGENTS[:2])
+    assert len(failed) == MAX_OFFERS
+    for host in failed:
+        simulation.add_agent(host, "dispatcher", knows_all_flows=True)
+    simulation.add_balancer(BALANCER_1)
+    simulation.run(3.0)
+    simulation.partitioned_hosts |= {*failed}
+    simulation.stored_reports.clear()
+    simulation.unwatched_hosts.add(BALANCER_1)
+    for number in range(1, 2 * len(failed)):
+        simulation.add_agent(f"10.3.0.{number}", "dispatcher", knows_all_flows=True)
+    simulation.run(0.1)
+    between_balancers = {BALANCER_1, BALANCER_2}
+    simulation.is_lost = lambda source, host: {source, host} == between_balancers
+    simulation.add_balancer(BALANCER_2)
+    caller = simulation.add_caller("dispatcher", BALANCER_1, requests=MANY_REQUESTS)
+    simulation.run(0.55)
+    assert set(simulation.nodes[BALANCER_1].flows[caller.flow].offered) == {*failed}
+    simulation.balancer_by_flow[caller.flow] = BALANCER_2
+    simulation.run(0.0515)
+    simulation.balancer_by_flow[caller.flow] = BALANCER_1
+    simulation.run(0.1)
+    assert caller.is_open
+    simulation.read_reports(BALANCER_1)
+    simulation.run(GIVEN_UP_AFTER_SECONDS + 0.5)
+    assert caller.answers > 0
+    assert not caller.outcome
