--- a/properties/test_datagram_messages.py
+++ b/properties/test_datagram_messages.py
@@ -14,6 +14,7 @@
     ReportsListed,
     Tick,
 )
+from shedsill.datagram._key_ranges import KeyRange
 from shedsill.datagram._messages import (
     Announcement,
     CheckpointPart,
@@ -72,6 +73,9 @@
     stopping=st.booleans(),
     version=st.integers(0, 9),
 )
+incarnations = st.integers(0, 20)
+host_keys = st.sampled_from([b"", *(host.encode() for host in HOSTS)])
+key_ranges = st.builds(KeyRange, after=host_keys, until=st.none() | host_keys)
 flows = st.sampled_from(FLOWS)
 reasons = st.sampled_from(ReturnReason)
 open_flows = st.lists(
@@ -88,7 +92,13 @@
 messages = st.one_of(
     st.builds(Announcement, report=reports),
     st.builds(Probe, report=st.none() | reports),
-    st.builds(Roster, reports=st.lists(reports, max_size=4), last=st.booleans()),
+    st.builds(
+        Roster,
+        reports=st.lists(reports, max_size=4),
+        hosts=st.none() | key_ranges,
+        complete=st.booleans(),
+        requester=incarnations,
+    ),
     st.builds(
         FlowTaken, flow=flows, boot=boots, initial_seq=st.integers(0, 9), load=loads
     ),
--- a/properties/test_known_faults.py
+++ b/properties/test_known_faults.py
@@ -7,7 +7,7 @@
 
 
 def test_balancer_restarted_in_store_outage_resets_no_live_flow() -> None:
-    """A balancer that got only the last `Roster` message resets a live flow."""
+    """A balancer with a part of a list of agents resets a live flow."""
     machine = FlowsMachine()
     machine.change_upstream_state(host="10.1.0.2", state=UpstreamState.GONE)
     machine.start_caller(balancer="10.0.0.2", requests=12, service="dispatcher")
--- a/shedsill/datagram/_balancer.py
+++ b/shedsill/datagram/_balancer.py
@@ -43,7 +43,6 @@
     PacketReturned,
     Probe,
     Roster,
-    split_into_chunks,
 )
 from shedsill.datagram._packet import FIN, RST, Packet, is_syn
 from shedsill.datagram._process_pauses import measure_pause
@@ -61,9 +60,6 @@
 PEER_EXCHANGE_INTERVAL_SECONDS = 1.0
 """Interval between exchanges of table versions with another balancer."""
 
-REPORTS_PER_MESSAGE = 6
-"""Reports in one message; at about 170 bytes each they fit into one datagram."""
-
 FLOW_SWEEP_INTERVAL_SECONDS = 0.25
 """Interval between sweeps that expire idle flows."""
 
@@ -160,11 +156,9 @@
             effects = (
                 _membership.handle_direct_report(state, report, now) if report else []
             )
-            return [*effects, *_answer_probe(state, source)]
-        case Roster(reports=reports, last=last):
-            effects = _membership.handle_indirect_reports(state, reports, now)
-            state.peers_synced = state.peers_synced or last
-            return effects
+            return [*effects, *_membership.answer_probe(state, source, report)]
+        case Roster():
+            return _membership.handle_roster(state, message, source, now)
         case FlowTaken():
             _record_load(state, source, message, now)
             return _flow_placement.handle_flow_taken(state, message, source, now)
@@ -187,19 +181,6 @@
     return []
 
 
-def _answer_probe(state: BalancerState, source: str) -> list[Effect]:
-    reports = [v.report for v in state.nodes.upstreams.values() if not v.lost]
-    reports += state.nodes.balancers.values()
-    chunks = split_into_chunks(reports, REPORTS_PER_MESSAGE)
-    return [
-        SendMessage(source, Announcement(report=state.report)),
-        *(
-            SendMessage(source, Roster(reports=chunk, last=chunk is chunks[-1]))
-            for chunk in chunks
-        ),
-    ]
-
-
 def _record_load(
     state: BalancerState,
     source: str,
--- a/shedsill/datagram/_balancer_state.py
+++ b/shedsill/datagram/_balancer_state.py
@@ -10,6 +10,7 @@
 from shedsill.datagram._effects import Effect, ForwardPacket, ResetFlow
 from shedsill.datagram._failure_detection import Nodes
 from shedsill.datagram._forwarding_table import ForwardingTable
+from shedsill.datagram._key_ranges import KeyRange
 from shedsill.datagram._messages import NodeReport
 from shedsill.datagram._packet import Packet
 from shedsill.datagram._report_polling import ReportPolling
@@ -97,8 +98,9 @@
         When this balancer started.
     isolated : bool
         Whether this balancer is cut off from most agents.
-    peers_synced : bool
-        Whether another balancer has sent the nodes that it knows.
+    hosts_to_sync : list of KeyRange
+        Ranges of hosts for which no balancer with a complete list of agents has sent
+        the nodes that it knows.
     sync_attempts : int
         Number of rounds in which other balancers were asked for their nodes.
     next_sync_at : float
@@ -131,7 +133,7 @@
     searches: dict[bytes, Search] = field(default_factory=dict)
     started_at: float = 0.0
     isolated: bool = False
-    peers_synced: bool = False
+    hosts_to_sync: list[KeyRange] = field(default_factory=lambda: [KeyRange()])
     sync_attempts: int = 0
     next_sync_at: float = 0.0
     peers_ahead: dict[str, str] = field(default_factory=dict)
@@ -147,6 +149,16 @@
     next_flow_sweep_at: float = 0.0
     stop_at: float | None = None
 
+    @property
+    def peers_synced(self) -> bool:
+        """Whether other balancers have sent a complete list of agents."""
+        return not self.hosts_to_sync
+
+    @property
+    def knows_all_agents(self) -> bool:
+        """Whether the store or other balancers have sent a complete list of agents."""
+        return self.nodes.store_listed or self.peers_synced
+
     @property
     def ready(self) -> bool:
         """Whether routers should send packets to this balancer."""
--- a/shedsill/datagram/_flow_placement.py
+++ b/shedsill/datagram/_flow_placement.py
@@ -153,7 +153,7 @@
 def assign_flow(
     state: BalancerState, flow: BalancerFlow, packet: Packet
 ) -> list[Effect]:
-    """Forward a packet to the agents that may hold its flow, and assign a single one."""
+    """Forward a packet to the agents that may hold its flow; assign a single one."""
     state.pending_flows.pop(packet.flow, None)
     hosts = list_possible_hosts(flow, packet)
     if len(hosts) == 1:
--- a/shedsill/datagram/_flow_search.py
+++ b/shedsill/datagram/_flow_search.py
@@ -217,6 +217,7 @@
         "after": round(search.last_packet_at - search.started_at, 3),
         "given_up": sum(view.lost for view in views),
         "introduced": state.peers_synced,
+        "listed": state.nodes.store_listed,
     }
     return [
         ResetFlow(key, search.caller_ack),
@@ -268,10 +269,9 @@
 
 def _knows_all_agents(state: BalancerState, now: float) -> bool:
     """Whether the list of agents is likely to be complete."""
-    nodes = state.nodes
-    if not nodes.upstreams or not (nodes.store_listed or state.peers_synced):
+    if not state.nodes.upstreams or not state.knows_all_agents:
         return False
-    has_no_peers = not nodes.balancers
+    has_no_peers = not state.nodes.balancers
     timed_out = now - state.started_at > _failure_detection.SYNC_TIMEOUT_SECONDS
     return state.peers_synced or has_no_peers or timed_out
 
--- a/shedsill/datagram/_membership.py
+++ b/shedsill/datagram/_membership.py
@@ -22,7 +22,9 @@
     StoreReport,
 )
 from shedsill.datagram._events import ReportsListed
+from shedsill.datagram._key_ranges import split_by_key, subtract_range
 from shedsill.datagram._messages import (
+    Announcement,
     NodeReport,
     Probe,
     Role,
@@ -42,6 +44,9 @@
 """Time to wait for the store to deliver a table that peers already have; if all pulled
 it from the first peer that has it, they would saturate its link."""
 
+REPORTS_PER_MESSAGE = 6
+"""Reports in one message; at about 170 bytes each they fit into one datagram."""
+
 LOST_REPORT_RETENTION_SECONDS = 20.0
 """Time after which the report of a lost agent is removed from the store; longer than a
 short failure of a VM or its network."""
@@ -93,7 +98,7 @@
     A new agent knows only the balancers among its seeds.  Relayed reports are not
     relayed again.
     """
-    roster = Roster(reports=[report], last=False)
+    roster = Roster(reports=[report])
     return [SendMessage(host, roster) for host in state.nodes.balancers]
 
 
@@ -141,6 +146,60 @@
     return effects
 
 
+def answer_probe(
+    state: BalancerState, source: str, requester: NodeReport | None
+) -> list[Effect]:
+    """Send this balancer's report and those of all nodes that it knows.
+
+    Lost agents are included: they may be reachable from other balancers.
+    """
+    known = {v.report.host: v.report for v in state.nodes.upstreams.values()}
+    known |= state.nodes.balancers
+    reports = {host.encode(): report for host, report in known.items()}
+    incarnation = requester.incarnation if requester else 0
+    return [
+        SendMessage(source, Announcement(report=state.report)),
+        *(
+            SendMessage(
+                source,
+                Roster(
+                    reports=chunk,
+                    hosts=hosts,
+                    complete=state.knows_all_agents,
+                    requester=incarnation,
+                ),
+            )
+            for hosts, chunk in split_by_key(reports, REPORTS_PER_MESSAGE)
+        ),
+    ]
+
+
+def handle_roster(
+    state: BalancerState, roster: Roster, source: str, now: float
+) -> list[Effect]:
+    """Handle reports from another balancer, and record the hosts that they cover.
+
+    Only a sender whose own list is complete can show that there are no other agents.
+    """
+    effects = handle_indirect_reports(state, roster.reports, now)
+    if (
+        roster.hosts is None
+        or roster.requester != state.report.incarnation
+        or state.peers_synced
+    ):
+        return effects
+    if roster.complete:
+        state.hosts_to_sync = subtract_range(state.hosts_to_sync, roster.hosts)
+    fields = {
+        "balancer": source,
+        "complete": roster.complete,
+        "missing": len(state.hosts_to_sync),
+        "known": len(state.nodes.upstreams),
+        "up": round(now - state.started_at, 3),
+    }
+    return [*effects, WriteLog(event=LogEvent.NODES_RECEIVED, fields=fields)]
+
+
 def _handle_changed_report(
     state: BalancerState,
     report: NodeReport,
--- a/shedsill/datagram/_messages.py
+++ b/shedsill/datagram/_messages.py
@@ -14,6 +14,7 @@
 import msgspec
 from msgspec import Struct, field
 
+from shedsill.datagram._key_ranges import KeyRange
 from shedsill.errors import DecodeError
 
 T = TypeVar("T")
@@ -118,17 +119,24 @@
 class Roster(Struct, frozen=True, kw_only=True, array_like=True):
     """Reports of other nodes.
 
-    A balancer sends those of all nodes that it knows in answer to a `Probe`, and relays
-    that of an agent that starts or leaves.
+    A balancer sends those of all nodes that it knows in answer to a `Probe`, in several
+    messages, and relays that of an agent that starts or leaves.
 
     Attributes
     ----------
-    last : bool
-        Whether this is the last message of an answer; false for a relayed report.
+    hosts : KeyRange or None
+        Range of hosts in which the sender knows no other nodes; None for a relayed
+        report.
+    complete : bool
+        Whether the sender's own list of agents is complete.
+    requester : int
+        Incarnation of the balancer that sent the `Probe`.
     """
 
     reports: list[NodeReport]
-    last: bool
+    hosts: KeyRange | None = None
+    complete: bool = False
+    requester: int = 0
 
 
 class FlowTaken(Struct, frozen=True, kw_only=True, array_like=True):
