--- a/shedsill/datagram/_failure_detection.py
+++ b/shedsill/datagram/_failure_detection.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Iterable
 
 from msgspec import Struct, field
@@ -41,6 +42,9 @@
 """Unanswered probes from which on an agent counts as silent: a single datagram may be
 dropped, and the next probe follows after more than the pause of a throttled VM."""
 
+AGENTS_PER_LINK_CHECK = 3
+"""Agents that are probed to check this balancer's own link; one answer suffices."""
+
 ISOLATION_SHARE = 0.5
 """Share of silent agents above which the fault is attributed to this balancer's own VM
 or network link."""
@@ -244,7 +248,7 @@
 
 
 def has_timed_out(view: UpstreamView, now: float) -> bool:
-    """Whether a silent agent should be marked as lost now."""
+    """Whether an agent was silent at a given time for so long that it is lost."""
     if view.lost or view.silent_since is None:
         return False
     if is_ending(view):
@@ -258,6 +262,29 @@
     )
 
 
+def get_last_contact(views: Iterable[UpstreamView], now: float) -> float:
+    """Return when the last message came from an agent that has not timed out.
+
+    Until then this balancer would have received the messages of the other agents, too.
+    """
+    return max(
+        (view.last_heard_at for view in views if not has_timed_out(view, now)),
+        default=0.0,
+    )
+
+
+def list_latest_heard(views: Iterable[UpstreamView], now: float) -> list[UpstreamView]:
+    """Return the agents to probe in order to check this balancer's own link."""
+    answering = [
+        view
+        for view in views
+        if not view.lost and now - view.last_probe_at >= PROBE_INTERVAL_SECONDS
+    ]
+    return heapq.nlargest(
+        AGENTS_PER_LINK_CHECK, answering, key=lambda view: view.last_heard_at
+    )
+
+
 def is_isolated(
     views: Iterable[UpstreamView], now: float, *, min_probes: int = SILENT_AFTER_PROBES
 ) -> bool:
--- a/shedsill/datagram/_membership.py
+++ b/shedsill/datagram/_membership.py
@@ -363,7 +363,11 @@
 
 
 def probe_agents(state: BalancerState, now: float) -> list[Effect]:
-    """Probe silent agents, and mark those as lost that do not answer."""
+    """Probe silent agents, and mark those as lost that do not answer.
+
+    Their silence counts up to the last message of another agent: without one, this
+    balancer's own link may have failed.
+    """
     effects: list[Effect] = []
     probe = Probe()
     views = state.nodes.upstreams.values()
@@ -381,13 +385,17 @@
     if _failure_detection.is_isolated(views, now):
         _failure_detection.restart_silence_timers(views, now)
         return effects
-    lost = [
-        h
-        for h, v in state.nodes.upstreams.items()
-        if _failure_detection.has_timed_out(v, now)
-    ]
-    for host in lost:
-        effects += _mark_agent_lost(state, host, state.nodes.upstreams[host], now)
+    silent = [v for v in views if _failure_detection.has_timed_out(v, now)]
+    if not silent:
+        return effects
+    contact_at = _failure_detection.get_last_contact(views, now)
+    lost = [v for v in silent if _failure_detection.has_timed_out(v, contact_at)]
+    for view in lost:
+        effects += _mark_agent_lost(state, view.report.host, view, now)
+    if len(lost) < len(silent):
+        for view in _failure_detection.list_latest_heard(views, now):
+            _failure_detection.record_probe(view, now)
+            effects.append(SendMessage(view.report.host, probe))
     return effects
 
 
--- a/shedsill/tests/test_datagram_isolation.py
+++ b/shedsill/tests/test_datagram_isolation.py
@@ -125,3 +125,44 @@
     simulation.is_lost = lambda source, host: False
     simulation.run(2.0)
     assert not simulation.reset_callers
+
+
+@pytest.mark.parametrize("cut_off", [0.2, 0.3, 0.45, 0.6])
+def test_agent_is_kept_whose_silence_ends_in_isolation_of_balancer(
+    simulation: Simulation, cut_off: float
+) -> None:
+    """Too short a time for the other agents to count as silent, too."""
+    callers = open_flows(simulation)
+    host = simulation.find_upstream_host(callers[0])
+    simulation.is_lost = lambda *hosts: {*hosts} == {BALANCER_1, host}
+    simulation.run(0.2)
+    while simulation.nodes[BALANCER_1].nodes.upstreams[host].silent_since is None:
+        simulation.run(0.04)
+    simulation.run(LOST_AFTER_SECONDS - cut_off + 0.1)
+    simulation.is_lost = lambda source, host: (
+        BALANCER_1 in (source, host) and source != "caller"
+    )
+    simulation.run(cut_off)
+    simulation.is_lost = lambda source, host: False
+    simulation.run(2.0)
+    assert not simulation.reset_callers
+    assert count_lost_agents(simulation) == 0
+
+
+def test_dead_agent_is_given_up_in_time_while_all_others_are_idle() -> None:
+    """Checking the balancer's own link takes a round trip and a tick."""
+    simulation = Simulation(services=("dispatcher",))
+    for host in AGENTS:
+        simulation.add_agent(host, "dispatcher", knows_all_flows=True)
+    simulation.add_balancer(BALANCER_1)
+    simulation.run(3.0)
+    caller = simulation.add_caller("dispatcher", BALANCER_1, requests=1000)
+    simulation.run(0.05)
+    dead = simulation.find_upstream_host(caller)
+    simulation.upstreams[dead].alive = False
+    simulation.partitioned_hosts.add(dead)
+    view = simulation.nodes[BALANCER_1].nodes.upstreams[dead]
+    while view.silent_since is None:
+        simulation.run(0.04)
+    simulation.run(view.silent_since + LOST_AFTER_SECONDS + 0.12 - simulation.now)
+    assert view.lost
