--- a/properties/test_datagram_messages.py
+++ b/properties/test_datagram_messages.py
@@ -118,7 +118,13 @@
         reason=reasons,
         load=loads,
     ),
-    st.builds(CheckpointPart, number=st.integers(0, 3), flows=open_flows),
+    st.builds(
+        CheckpointPart,
+        incarnation=incarnations,
+        number=st.integers(0, 3),
+        keys=st.builds(KeyRange, after=st.just(b"") | flows, until=st.none() | flows),
+        flows=open_flows,
+    ),
     st.just(CheckpointTaken()),
 )
 checkpoints = st.builds(
--- a/shedsill/datagram/_checkpoint_collection.py
+++ b/shedsill/datagram/_checkpoint_collection.py
@@ -16,18 +16,21 @@
 
 from __future__ import annotations
 
+import bisect
+from collections.abc import Iterable
+
 from shedsill._catalogue import LogEvent
 from shedsill._common_effects import WriteLog
 from shedsill.datagram import _flow_search
 from shedsill.datagram._balancer_state import BalancerFlow, BalancerState
-from shedsill.datagram._checkpoints import Checkpoints, Part
+from shedsill.datagram._checkpoints import Checkpoints, Part, TimedFlow
 from shedsill.datagram._effects import Effect, SendMessage, StoreCheckpoint
 from shedsill.datagram._events import CheckpointRead
+from shedsill.datagram._key_ranges import KeyRange, split_by_key
 from shedsill.datagram._messages import (
     CheckpointPart,
     CheckpointTaken,
     OpenFlow,
-    split_into_chunks,
 )
 from shedsill.datagram._packet import SEQUENCE_SPACE, measure_advance
 
@@ -43,9 +46,9 @@
 """Maximum time since the last packet of a flow that is included; longer than the pauses
 between the requests of a caller."""
 
-PART_LIFETIME_SECONDS = 10.0
-"""Time for which the collector keeps a balancer's part; long enough for that balancer
-to crash, restart and read it."""
+FLOW_LIFETIME_SECONDS = 10.0
+"""Time for which the collector keeps a flow that is not reported again; long enough for
+its balancer to crash, restart and read it."""
 
 MAX_CHECKPOINT_AGE_SECONDS = 30.0
 """Age from which a checkpoint is ignored: half of the 60 s for which a caller does not
@@ -57,7 +60,7 @@
 SILENT_COLLECTOR_BACKOFF_SECONDS = 30.0
 """Time for which a balancer that did not answer is not chosen as collector."""
 
-FLOWS_PER_MESSAGE = 18
+FLOWS_PER_MESSAGE = 17
 """Flows in one message; at up to 64 bytes each they fit into one datagram."""
 
 MAX_CHECKPOINT_FLOWS = 4000
@@ -97,10 +100,22 @@
         checkpoints.collector = collector
         checkpoints.unanswered = 0
     if collector == state.report.host:
-        checkpoints.parts[collector] = Part(checkpoints.number, now, flows)
+        part = checkpoints.parts.setdefault(collector, Part())
+        _replace_flows(part, KeyRange(), flows.values(), now)
         return _store_checkpoint(checkpoints, now)
     checkpoints.unanswered += 1
-    return _send_part(collector, checkpoints.number, flows)
+    return [
+        SendMessage(
+            collector,
+            CheckpointPart(
+                incarnation=state.report.incarnation,
+                number=checkpoints.number,
+                keys=keys,
+                flows=chunk,
+            ),
+        )
+        for keys, chunk in split_by_key(flows, FLOWS_PER_MESSAGE)
+    ]
 
 
 def _update_collector_backoff(checkpoints: Checkpoints, now: float) -> None:
@@ -110,14 +125,7 @@
         )
 
 
-def _send_part(collector: str, number: int, flows: list[OpenFlow]) -> list[Effect]:
-    return [
-        SendMessage(collector, CheckpointPart(number=number, flows=chunk))
-        for chunk in split_into_chunks(flows, FLOWS_PER_MESSAGE)
-    ]
-
-
-def _list_open_flows(state: BalancerState, now: float) -> list[OpenFlow]:
+def _list_open_flows(state: BalancerState, now: float) -> dict[bytes, OpenFlow]:
     """Return the latest flows whose callers may be waiting for an answer."""
     entries = [
         (key, flow)
@@ -131,8 +139,8 @@
     if len(entries) > MAX_CHECKPOINT_FLOWS:
         entries.sort(key=lambda entry: entry[1].last_packet_at)
         del entries[:-MAX_CHECKPOINT_FLOWS]
-    return [
-        OpenFlow(
+    return {
+        key: OpenFlow(
             flow=key,
             host=flow.host,
             service=flow.service,
@@ -140,13 +148,44 @@
             caller_ack=flow.caller_ack,
         )
         for key, flow in entries
-    ]
+    }
+
+
+def _replace_flows(
+    part: Part, keys: KeyRange, flows: Iterable[OpenFlow], now: float
+) -> None:
+    """Replace the flows of a range of keys."""
+    part.received_at = now
+    start = bisect.bisect_right(part.keys, keys.after)
+    end = (
+        len(part.keys)
+        if keys.until is None
+        else max(bisect.bisect_right(part.keys, keys.until), start)
+    )
+    for key in part.keys[start:end]:
+        del part.flows[key]
+    capacity = MAX_CHECKPOINT_FLOWS - len(part.flows)
+    reported = {flow.flow: flow for flow in flows if keys.contains(flow.flow)}
+    part.keys[start:end] = sorted(reported)[:capacity]
+    for key in part.keys[start : start + min(len(reported), capacity)]:
+        part.flows[key] = TimedFlow(reported[key], now)
+
+
+def _expire_flows(part: Part, now: float) -> None:
+    """Remove flows whose balancer has not reported them again."""
+    part.flows = {
+        key: timed
+        for key, timed in part.flows.items()
+        if now - timed.reported_at <= FLOW_LIFETIME_SECONDS
+    }
+    part.keys = sorted(part.flows)
 
 
 def _store_checkpoint(checkpoints: Checkpoints, now: float) -> list[Effect]:
     parts = checkpoints.parts
     for host, part in list(parts.items()):
-        if now - part.taken_at > PART_LIFETIME_SECONDS:
+        _expire_flows(part, now)
+        if now - part.received_at > FLOW_LIFETIME_SECONDS:
             del parts[host]
     value = _merge_parts(parts)
     if value == checkpoints.stored:
@@ -163,7 +202,7 @@
     """
     latest: dict[bytes, tuple[str, OpenFlow]] = {}
     for host, part in sorted(parts.items()):
-        for flow in part.flows:
+        for flow in (timed.flow for timed in part.flows.values()):
             known = latest.get(flow.flow)
             if known is None or _is_ahead(flow, known[1]):
                 latest[flow.flow] = host, flow
@@ -182,14 +221,23 @@
     state: BalancerState, message: CheckpointPart, source: str, now: float
 ) -> list[Effect]:
     """Handle the open flows of another balancer, as its collector."""
-    parts = state.checkpoints.parts
-    part = parts.get(source)
-    if part is None or part.number != message.number:
-        part = parts[source] = Part(message.number, now)
-    part.flows += message.flows[: MAX_CHECKPOINT_FLOWS - len(part.flows)]
+    part = state.checkpoints.parts.setdefault(source, Part())
+    if not _is_outdated(part, message):
+        if message.incarnation != part.incarnation:
+            part.earlier_incarnations.add(part.incarnation)
+            part.incarnation = message.incarnation
+        part.number = message.number
+        _replace_flows(part, message.keys, message.flows, now)
     return [SendMessage(source, CheckpointTaken())]
 
 
+def _is_outdated(part: Part, message: CheckpointPart) -> bool:
+    """Whether a message belongs to an earlier list than the latest one."""
+    if message.incarnation == part.incarnation:
+        return message.number < part.number
+    return message.incarnation in part.earlier_incarnations
+
+
 def handle_checkpoint_taken(state: BalancerState, source: str) -> list[Effect]:
     """Record that the collector has answered."""
     state.checkpoints.silent_until.pop(source, None)
@@ -204,8 +252,8 @@
         return []
     for host, flows in event.parts.items():
         if host not in state.checkpoints.parts:
-            # Balancers count from 1, so their next part replaces this one.
-            state.checkpoints.parts[host] = Part(0, event.now, flows)
+            part = state.checkpoints.parts[host] = Part()
+            _replace_flows(part, KeyRange(), flows, event.now)
     if not event.at_start:
         return []
     restored = [
--- a/shedsill/datagram/_checkpoints.py
+++ b/shedsill/datagram/_checkpoints.py
@@ -7,22 +7,38 @@
 from shedsill.datagram._messages import OpenFlow
 
 
+class TimedFlow(Struct, frozen=True):
+    """An open flow, and when it was reported."""
+
+    flow: OpenFlow
+    reported_at: float
+
+
 class Part(Struct):
     """Open flows that one balancer has sent to the collector.
 
     Attributes
     ----------
-    number : int
-        Number of the part, see `CheckpointPart`.
-    taken_at : float
-        When the part's first message arrived.
-    flows : list of OpenFlow
-        Flows received so far.
+    incarnation, number : int
+        Incarnation of the balancer and number of its latest list, see
+        `CheckpointPart`.
+    earlier_incarnations : set of int
+        Incarnations of the balancer that have ended.
+    received_at : float
+        When the last message arrived.
+    keys : list of bytes
+        Sorted keys of `flows`.
+    flows : dict of bytes to TimedFlow
+        Flows by key.  A range of keys is replaced when a message that covers it
+        arrives; until then, the flows of earlier lists are kept.
     """
 
-    number: int
-    taken_at: float
-    flows: list[OpenFlow] = field(default_factory=list)
+    incarnation: int = 0
+    number: int = 0
+    earlier_incarnations: set[int] = field(default_factory=set)
+    received_at: float = 0.0
+    keys: list[bytes] = field(default_factory=list)
+    flows: dict[bytes, TimedFlow] = field(default_factory=dict)
 
 
 class Checkpoints(Struct):
--- a/shedsill/datagram/_messages.py
+++ b/shedsill/datagram/_messages.py
@@ -242,12 +242,18 @@
 
     Attributes
     ----------
+    incarnation : int
+        Incarnation of the sender.
     number : int
-        Number of the sender's list of flows, which may take several messages.  A list
-        with another number replaces it.
+        Number of the sender's list of flows, which may take several messages; grows
+        within an incarnation.
+    keys : KeyRange
+        Range of flow keys in which the sender has no other flows to report.
     """
 
+    incarnation: int
     number: int
+    keys: KeyRange
     flows: list[OpenFlow]
 
 
--- a/shedsill/tests/test_datagram_checkpoints.py
+++ b/shedsill/tests/test_datagram_checkpoints.py
@@ -9,6 +9,7 @@
 
 from shedsill.datagram import _checkpoint_collection
 from shedsill.datagram._events import CheckpointRead, MessageReceived
+from shedsill.datagram._key_ranges import KeyRange
 from shedsill.datagram._messages import (
     CheckpointPart,
     CheckpointTaken,
@@ -27,6 +28,7 @@
 POWER_FAILURE_SECONDS = 1.5
 """Duration of the power failure."""
 MAX_PACKET_BYTES = 1200
+FLOW_KEY_BYTES = 12
 
 
 @pytest.fixture
@@ -226,14 +228,20 @@
 
 def test_checkpoint_part_fits_into_packet() -> None:
     flow = OpenFlow(
-        flow=bytes(12),
+        flow=bytes(FLOW_KEY_BYTES),
         host="10.123.123.123",
         service="s" * 16,
         boot="i-" + "f" * 10,
         caller_ack=2**32 - 1,
     )
     flows = [flow] * _checkpoint_collection.FLOWS_PER_MESSAGE
-    data = encode_message(CheckpointPart(number=2**31, flows=flows))
+    part = CheckpointPart(
+        incarnation=2**63,
+        number=2**31,
+        keys=KeyRange(bytes(FLOW_KEY_BYTES), bytes(FLOW_KEY_BYTES)),
+        flows=flows,
+    )
+    data = encode_message(part)
     assert len(data) <= MAX_PACKET_BYTES
     assert decode_message(encode_message(CheckpointTaken())) == CheckpointTaken()
 
@@ -295,3 +303,88 @@
     simulation._dispatch(BALANCERS[0], event)
     simulation.run(3.0)
     assert not simulation.reset_callers
+
+
+def make_part(number: int, keys: KeyRange, *flows: OpenFlow, incarnation: int = 7):
+    return CheckpointPart(
+        incarnation=incarnation, number=number, keys=keys, flows=list(flows)
+    )
+
+
+def make_open_flow(name: str, ack: int = 0) -> OpenFlow:
+    return OpenFlow(
+        flow=name.encode(),
+        host=AGENTS[0],
+        service="dispatcher",
+        boot="i-1",
+        caller_ack=ack,
+    )
+
+
+LOWER, UPPER = KeyRange(b"", b"m"), KeyRange(b"m", None)
+FLOW_A, FLOW_A_LATER = make_open_flow("a"), make_open_flow("a", 9)
+FLOW_B, FLOW_X = make_open_flow("b"), make_open_flow("x")
+LATE_PARTS = {
+    "older list": (
+        [make_part(2, KeyRange(), FLOW_A_LATER, FLOW_X)],
+        [make_part(1, KeyRange(), FLOW_A, FLOW_B)],
+        {"a": 9, "x": 0},
+    ),
+    "part of an older list": (
+        [make_part(2, LOWER, FLOW_A_LATER), make_part(2, UPPER, FLOW_X)],
+        [make_part(1, LOWER, FLOW_A, FLOW_B)],
+        {"a": 9, "x": 0},
+    ),
+    "earlier incarnation": (
+        [
+            make_part(8, KeyRange(), FLOW_A, FLOW_B, incarnation=6),
+            make_part(1, KeyRange(), FLOW_A_LATER),
+        ],
+        [make_part(9, KeyRange(), FLOW_B, incarnation=6)],
+        {"a": 9},
+    ),
+    "repeated part": (
+        [make_part(2, LOWER, FLOW_A), make_part(2, UPPER, FLOW_X)],
+        [make_part(2, LOWER, FLOW_A)] * 3,
+        {"a": 0, "x": 0},
+    ),
+    "lost part": (
+        [make_part(1, LOWER, FLOW_A, FLOW_B), make_part(1, UPPER, FLOW_X)],
+        [make_part(2, LOWER, FLOW_A_LATER)],
+        {"a": 9, "x": 0},
+    ),
+    "invalid range": (
+        [make_part(1, KeyRange(), FLOW_A)],
+        [make_part(2, KeyRange(b"z", b"b"), FLOW_X)],
+        {"a": 0},
+    ),
+}
+
+
+@pytest.mark.parametrize("case", LATE_PARTS)
+def test_late_message_does_not_replace_newer_flows(
+    simulation: Simulation, case: str
+) -> None:
+    """Flows missing in a checkpoint are not reset after a loss of power."""
+    first, late, expected = LATE_PARTS[case]
+    for part in (*first, *late):
+        event = MessageReceived(message=part, source="10.0.0.9", now=simulation.now)
+        simulation._dispatch(BALANCERS[0], event)
+    simulation.run(_checkpoint_collection.CHECKPOINT_INTERVAL_SECONDS + 0.1)
+    stored = simulation.checkpoint["10.0.0.9"]
+    assert {flow.flow.decode(): flow.caller_ack for flow in stored} == expected
+
+
+def test_flow_that_is_not_reported_again_expires(simulation: Simulation) -> None:
+    """The part that would have removed the flow was lost."""
+    lifetime = _checkpoint_collection.FLOW_LIFETIME_SECONDS
+    number = 1
+    part = make_part(number, KeyRange(), FLOW_A, FLOW_X)
+    end = simulation.now + lifetime + 4.0
+    while simulation.now < end:
+        event = MessageReceived(message=part, source="10.0.0.9", now=simulation.now)
+        simulation._dispatch(BALANCERS[0], event)
+        simulation.run(2.0)
+        number += 1
+        part = make_part(number, LOWER, FLOW_A)
+    assert simulation.checkpoint["10.0.0.9"] == [FLOW_A]
