--- a/shedsill/platform/store.py
+++ b/shedsill/platform/store.py
@@ -147,15 +147,18 @@
         return Found(object=_build_object(kind, _decode_body(response, _Object)))
 
     async def _list(self, kind: str) -> Outcome:
-        objects: list[StoredObject] = []
+        """List all objects of a kind, at the revision of the first page.
+
+        A watch from there returns what changed in a page after it was read.
+        """
         target = f"{OBJECTS_PATH}/{kind}"
-        while True:
+        first = page = _decode_body(await self._request("GET", target), _Page)
+        objects = [_build_object(kind, item) for item in page.items]
+        while page.truncated and page.items:
+            target = f"{OBJECTS_PATH}/{kind}?after={objects[-1].name}"
             page = _decode_body(await self._request("GET", target), _Page)
             objects += [_build_object(kind, item) for item in page.items]
-            if not (page.truncated and page.items):
-                break
-            target = f"{OBJECTS_PATH}/{kind}?after={objects[-1].name}"
-        return Listing(objects=tuple(objects), revision=page.current_rev)
+        return Listing(objects=tuple(objects), revision=first.current_rev)
 
     async def _watch(self, kind: str, call: Watch) -> Outcome:
         wait = int(call.patience * 1000)
--- a/shedsill/testing/object_store.py
+++ b/shedsill/testing/object_store.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
@@ -48,6 +49,8 @@
         Number of calls received.
     dropped_revision : int
         Watches from before this revision are answered with 410.
+    after_list : callable
+        Called after each page of a list was read.
     """
 
     faults: StoreFaults = field(factory=StoreFaults)
@@ -57,6 +60,7 @@
     objects: dict[tuple[str, str], dict[str, Any]] = field(factory=dict)
     history: list[tuple[int, str, dict[str, Any]]] = field(factory=list)
     dropped_revision: int = 0
+    after_list: Callable[[], object] = field(default=lambda: None)
 
     def make_app(self) -> web.Application:
         """Return the HTTP application."""
@@ -114,6 +118,7 @@
             "truncated": len(names) > self.page_size,
             "current_rev": self.revision,
         }
+        self.after_list()
         return web.json_response(body)
 
     async def _watch(self, kind: str, request: web.Request) -> web.Response:
--- a/shedsill/tests/test_platform_store.py
+++ b/shedsill/tests/test_platform_store.py
@@ -103,6 +103,27 @@
     run_scenario(scenario)
 
 
+def test_change_of_a_page_that_was_read_is_watched() -> None:
+    """An agent that registers between two pages would be unknown until it changes."""
+
+    async def scenario(stand_in: ObjectStoreStandIn, store: ObjectStore) -> None:
+        stand_in.page_size = 3
+        for number in range(5):
+            stand_in.write(KIND, f"o{number}", {"n": number})
+        stand_in.after_list = lambda: (
+            stand_in.revision == 5 and stand_in.write(KIND, "a-new", {"n": 9})
+        )
+        listing = await store.call(List(kinds=(KIND,)))
+        assert isinstance(listing, Listing)
+        assert len(listing.objects) == 5
+        watch = Watch(kinds=(KIND,), revision=listing.revision, patience=0.05)
+        changed = await store.call(watch)
+        assert isinstance(changed, Changed)
+        assert [item.name for item in changed.objects] == ["a-new"]
+
+    run_scenario(scenario)
+
+
 def test_watch_returns_changed_and_deleted_objects() -> None:
     async def scenario(stand_in: ObjectStoreStandIn, store: ObjectStore) -> None:
         await put(store, "a")
