--- a/shedsill/coordination/watch.py
+++ b/shedsill/coordination/watch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 from shedsill.coordination.backoff import Backoff, get_delay
@@ -10,6 +11,7 @@
     HistoryGone,
     List,
     Listing,
+    Outcome,
     Platform,
     Unavailable,
     Watch,
@@ -76,6 +78,7 @@
     sleep: Callable[[float], Awaitable[None]],
     get_timeout: Callable[[], float] = get_default_timeout,
     delay_next_watch: Callable[[], Awaitable[float | None]] | None = None,
+    interrupt_watch: Callable[[], Awaitable[float]] | None = None,
     backoff: Backoff | None = None,
 ) -> AsyncIterator[Listing | Changed | Unavailable]:
     """Yield a listing initially and then only changes.
@@ -92,6 +95,9 @@
         Awaited after a listing or a change, so that the next watch returns several
         changes at once.  Returns a short timeout in seconds if that watch should not
         wait for further changes, and None otherwise.
+    interrupt_watch : callable
+        Awaited beside each watch.  When it returns, the watch is given up, as it may
+        never be answered, and repeated with the returned timeout in seconds.
 
     Examples
     --------
@@ -109,26 +115,26 @@
     revision: int | None = None
     failures = 0
     short_timeout: float | None = None
+    was_interrupted = False
     while True:
         if revision is None:
             outcome = await platform.call(List(kinds=(kind,)))
         else:
-            outcome = await platform.call(
-                Watch(
-                    kinds=(kind,),
-                    revision=revision,
-                    patience=short_timeout or get_timeout(),
-                )
-            )
-        was_short = short_timeout is not None
+            patience = short_timeout or get_timeout()
+            watch = Watch(kinds=(kind,), revision=revision, patience=patience)
+            outcome = await _call_with_interrupt(platform, watch, interrupt_watch)
+        was_delayed = short_timeout is not None and not was_interrupted
+        was_interrupted = isinstance(outcome, float)
         short_timeout = None
         match outcome:
+            case float():
+                short_timeout = outcome
             case Listing() | Changed():
                 failures = 0
                 revision = outcome.revision
                 yield outcome
                 has_changes = isinstance(outcome, Listing) or outcome.names
-                if delay_next_watch is not None and (has_changes or was_short):
+                if delay_next_watch is not None and (has_changes or was_delayed):
                     short_timeout = await delay_next_watch()
             case HistoryGone():
                 revision = None
@@ -136,3 +142,21 @@
                 failures += 1
                 yield outcome
                 await sleep(get_delay(backoff, failures))
+
+
+async def _call_with_interrupt(
+    platform: Platform,
+    watch: Watch,
+    interrupt_watch: Callable[[], Awaitable[float]] | None,
+) -> Outcome | float:
+    """Return a watch's outcome, or the timeout of the next one if interrupted."""
+    if interrupt_watch is None:
+        return await platform.call(watch)
+    call = asyncio.ensure_future(platform.call(watch))
+    interrupt = asyncio.ensure_future(interrupt_watch())
+    try:
+        await asyncio.wait((call, interrupt), return_when=asyncio.FIRST_COMPLETED)
+        return call.result() if call.done() else interrupt.result()
+    finally:
+        call.cancel()
+        interrupt.cancel()
--- a/shedsill/datagram/_runtime/balancer.py
+++ b/shedsill/datagram/_runtime/balancer.py
@@ -99,7 +99,6 @@
         self._served_table = ServedTable()
         self._pulling_table = False
         self._reports_requested = asyncio.Event()
-        self._waiting_between_watches = False
         self._checkpoints = CheckpointStore(
             self.platform,
             write_log=self.write_log,
@@ -155,7 +154,7 @@
             case ReadCheckpoint():
                 self.run_in_background(self._checkpoints.read())
             case ReadReports():
-                self._request_reports()
+                self._reports_requested.set()
             case _:
                 super().execute(effect)
 
@@ -255,6 +254,7 @@
             sleep=asyncio.sleep,
             get_timeout=self._choose_watch_timeout,
             delay_next_watch=self._wait_between_watches,
+            interrupt_watch=self._wait_for_report_request,
             backoff=RETRY_BACKOFF,
         )
         async for outcome in changes:
@@ -279,26 +279,21 @@
 
         Returns the timeout of the next watch; None for the usual one.
         """
-        self._reports_requested.clear()
-        self._waiting_between_watches = True
         try:
             async with asyncio.timeout(self.state.polling.interval):
-                await self._reports_requested.wait()
+                return await self._wait_for_report_request()
         except TimeoutError:
             return None
-        finally:
-            self._waiting_between_watches = False
-        return SHORT_WATCH_TIMEOUT_SECONDS
 
-    def _request_reports(self) -> None:
-        """Read the reports without further delay.
+    async def _wait_for_report_request(self) -> float:
+        """Wait until reports are requested; return the timeout of the next watch.
 
-        While a watch is running, all changes up to now are already known.
+        A running watch does not show that all changes up to now are known: the store
+        may never answer it.
         """
-        if self._waiting_between_watches:
-            self._reports_requested.set()
-        elif not self._platform_failed:
-            self._loop.call_soon(lambda: self._handle_reports((), (), complete=False))
+        await self._reports_requested.wait()
+        self._reports_requested.clear()
+        return SHORT_WATCH_TIMEOUT_SECONDS
 
     def _handle_reports(
         self,
--- a/shedsill/tests/test_datagram_report_polling.py
+++ b/shedsill/tests/test_datagram_report_polling.py
@@ -12,14 +12,31 @@
 from shedsill.coordination.watch import watch_changes
 from shedsill.datagram import _report_polling
 from shedsill.datagram._events import ReportsListed
-from shedsill.datagram._messages import NodeReport, Role, UpstreamState
+from shedsill.datagram._messages import NodeReport, Role, UpstreamState, dump_report
 from shedsill.datagram._report_polling import ReportPolling, record_read
+from shedsill.datagram._runtime.balancer import create_balancer
+from shedsill.datagram._runtime.reports import REPORT_KIND
 from shedsill.datagram._search_state import LOCATE_TIMEOUT_SECONDS
+from shedsill.platform.manifest import TABLE_SOURCE
+from shedsill.platform.packets import HeaderCodec
 from shedsill.testing.datagram_simulation import Simulation
+from shedsill.testing.node_settings import NODE_PORT_COUNT, make_node_settings
+from shedsill.testing.ports import get_free_ports
 
 BALANCER_1, BALANCER_2 = "10.0.0.1", "10.0.0.2"
 AGENT_1, AGENT_2 = "10.1.0.1", "10.1.0.2"
 MANY_REQUESTS = 1000
+AGENT_REPORT = dump_report(
+    NodeReport(
+        host=AGENT_1,
+        role=Role.AGENT,
+        zone="z1",
+        incarnation=77,
+        service="dispatcher",
+        boot="i-9",
+        state=UpstreamState.READY,
+    )
+)
 
 
 @pytest.fixture
@@ -194,3 +211,92 @@
     assert isinstance(second, Changed)
     assert not second.names
     assert platform.patiences == [0.01]
+
+
+class UnansweredWatchPlatform(CountingPlatform):
+    """A store that never answers watches longer than 1 s.
+
+    It answers other watches with the changed objects.
+    """
+
+    async def call(self, call):
+        outcome = await super().call(call)
+        if not isinstance(call, Watch):
+            return outcome
+        if call.patience > 1.0:
+            await asyncio.Event().wait()
+        stored = self._platform.objects.values()
+        objects = tuple(item for item in stored if item.version > call.revision)
+        return Changed(names=outcome.names, revision=outcome.revision, objects=objects)
+
+
+def test_requested_read_does_not_rely_on_unanswered_watch(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A flow is reset by a list of agents that counts as recent and is not."""
+    monkeypatch.setattr(_report_polling, "MIN_POLL_INTERVAL_SECONDS", 0.05)
+
+    async def request_read() -> tuple[float, dict]:
+        store = UnansweredWatchPlatform()
+        node = create_balancer(
+            make_node_settings(
+                "127.0.0.2", Role.BALANCER, get_free_ports(NODE_PORT_COUNT)
+            ),
+            source=None,  # type: ignore[arg-type]
+            codec=HeaderCodec(),
+            platform=store,
+            table=TABLE_SOURCE,
+        )
+        try:
+            node.run_in_background(node._watch_reports())
+            await asyncio.sleep(0.2)
+            assert len(store.patiences) == 1
+            listed_at = node.state.polling.read_at
+            await store.call(
+                Put(kind=REPORT_KIND, name=AGENT_1, value=AGENT_REPORT, expected=0)
+            )
+            for effect in _report_polling.request_read(node.state.polling, node.now):
+                node.execute(effect)
+            await asyncio.sleep(0.1)
+            return node.state.polling.read_at - listed_at, node.state.nodes.upstreams
+        finally:
+            node._close()
+
+    read_after, upstreams = asyncio.run(request_read())
+    assert read_after > 0.1
+    assert AGENT_1 in upstreams
+
+
+def test_interrupted_watch_is_followed_by_a_long_one() -> None:
+    """Without a change there is no rest, in which changes would not be noticed."""
+    platform = UnansweredWatchPlatform()
+    interrupts = iter([0.01])
+    rests: list[None] = []
+
+    async def interrupt() -> float:
+        for patience in interrupts:
+            return patience
+        await asyncio.Event().wait()
+        raise AssertionError("unreachable")
+
+    async def rest() -> None:
+        rests.append(None)
+
+    async def read() -> None:
+        changes = watch_changes(
+            platform,
+            "k",
+            sleep=asyncio.sleep,
+            get_timeout=lambda: 30.0,
+            delay_next_watch=rest,
+            interrupt_watch=interrupt,
+        )
+        outcomes = [await anext(changes), await anext(changes)]
+        assert [type(outcome) for outcome in outcomes] == [Listing, Changed]
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.1):
+                await anext(changes)
+
+    asyncio.run(read())
+    assert platform.patiences == [30.0, 0.01, 30.0]
+    assert len(rests) == 1
