--- a/shedsill/_catalogue.py
+++ b/shedsill/_catalogue.py
@@ -75,6 +75,9 @@
     )
     REQUEST_PASSED = Entry(409, Level.INFO, "request forwarded to the ticket's issuer")
     REQUEST_RETRIED = Entry(410, Level.INFO, "repeatable request retried")
+    UPSTREAM_CALL_FAILED = Entry(
+        412, Level.INFO, "upstream gave no complete answer to a request"
+    )
     ANSWER_CUT = Entry(411, Level.WARNING, "response incomplete; stream reset")
 
     BREAKER_OPENED = Entry(
--- a/shedsill/http3/_events.py
+++ b/shedsill/http3/_events.py
@@ -178,10 +178,13 @@
     ----------
     sent : bool
         Whether any byte of the request may have reached the upstream.
+    reason : str
+        Cause of the failure, for the log.
     """
 
     request: int
     sent: bool
+    reason: str
     now: float
     seed: int
 
--- a/shedsill/http3/_requests.py
+++ b/shedsill/http3/_requests.py
@@ -413,7 +413,10 @@
     request = state.admission.requests.get(event.request)
     if request is None:
         return state, []
+    fields = {**get_log_fields(request), "sent": event.sent, "reason": event.reason}
+    log_entry = WriteLog(event=LogEvent.UPSTREAM_CALL_FAILED, fields=fields)
     state, effects = _record_failure(state, event.now)
+    effects.append(log_entry)
     state, more = _retry_or_complete(state, request, event)
     effects += more
     state, more = start_queued_requests(state, event.now, event.seed)
--- a/shedsill/http3/_runtime/agent.py
+++ b/shedsill/http3/_runtime/agent.py
@@ -498,10 +498,14 @@
                         seed=seed,
                     )
                 )
-            case FailedCall(sent=sent):
+            case FailedCall(sent=sent, reason=reason):
                 self.dispatch(
                     UpstreamFailed(
-                        request=exchange.number, sent=sent, now=now, seed=seed
+                        request=exchange.number,
+                        sent=sent,
+                        reason=reason,
+                        now=now,
+                        seed=seed,
                     )
                 )
 
--- a/shedsill/testing/http3_simulation.py
+++ b/shedsill/testing/http3_simulation.py
@@ -546,7 +546,11 @@
             )
         else:
             event = events.UpstreamFailed(
-                request=run.request, sent=True, now=self.now, seed=seed
+                request=run.request,
+                sent=True,
+                reason="connection closed",
+                now=self.now,
+                seed=seed,
             )
         self.dispatch(run.agent, event)
 
