--- a/shedsill/testing/mutant_node.py
+++ b/shedsill/testing/mutant_node.py
@@ -11,46 +11,59 @@
 import pathlib
 import sys
 from collections.abc import Callable
+from typing import Any
+
+from msgspec.structs import replace
 
 from shedsill.datagram import _agent, _agent_packets, _agent_state, _balancer
 from shedsill.datagram._failure_detection import Nodes
-from shedsill.platform import packets
 from shedsill.platform.node import main
+from shedsill.platform.packets import HeaderCodec
+
+Replace = Callable[[object, str, Any], None]
+"""Replaces an attribute of a module or class."""
+
+
+class MutationError(Exception):
+    """A mutation names an attribute that does not exist or would not change."""
+
 
+def replace_attribute(owner: object, name: str, value: Any) -> None:
+    """Replace an attribute; raise `MutationError` if that changes nothing."""
+    if not hasattr(owner, name):
+        raise MutationError(f"{owner!r} has no attribute {name!r}")
+    if getattr(owner, name) is value:
+        raise MutationError(f"{owner!r}: {name!r} already has this value")
+    setattr(owner, name, value)
 
-def corrupt_payloads() -> None:
+
+def corrupt_payloads(replace_in: Replace) -> None:
     """Change one byte of each packet for an upstream."""
-    encode = packets.HeaderCodec.encode_for_upstream
+    encode = HeaderCodec.encode_for_upstream
 
     def encode_corrupted(self, packet, balancer: str) -> bytes:
         data = encode(self, packet, balancer)
         return data[:27] + bytes([data[27] ^ 1]) + data[28:]
 
-    packets.HeaderCodec.encode_for_upstream = encode_corrupted
+    replace_in(HeaderCodec, "encode_for_upstream", encode_corrupted)
 
 
-def ignore_services() -> None:
+def ignore_services(replace_in: Replace) -> None:
     """Offer flows to upstreams of any service, and let agents accept them."""
+    handle_packet = _agent_packets.handle_forwarded_packet
 
     def list_any_upstreams(nodes, _service: str) -> list:
         return list(nodes.upstreams.values())
 
-    Nodes.list_service_upstreams = list_any_upstreams
-    _agent_packets.hash_service = lambda _service: 0
-    packets.SERVICE = _ZeroServiceCodec()
-
-
-class _ZeroServiceCodec:
-    """Replaces the struct that encodes a service's number."""
-
-    def pack(self, _number: int) -> bytes:
-        return bytes(4)
+    def handle_any_service(state, event) -> list:
+        own_service = _agent_packets.hash_service(state.report.service)
+        return handle_packet(state, replace(event, service=own_service))
 
-    def unpack_from(self, _data: bytes, _offset: int) -> tuple[int]:
-        return (0,)
+    replace_in(Nodes, "list_service_upstreams", list_any_upstreams)
+    replace_in(_agent_packets, "handle_forwarded_packet", handle_any_service)
 
 
-def deny_earlier_flows() -> None:
+def deny_earlier_flows(replace_in: Replace) -> None:
     """Let a restarted agent claim to know all flows, so that it denies earlier ones."""
     start = _agent.start_agent
 
@@ -58,23 +71,23 @@
         start(state, now)
         state.knows_all_flows = True
 
-    _agent.start_agent = start_with_known_flows
+    replace_in(_agent, "start_agent", start_with_known_flows)
 
 
-def ignore_tables() -> None:
+def ignore_tables(replace_in: Replace) -> None:
     """Let a restarted balancer ignore every table."""
     settings = json.loads(pathlib.Path(os.environ["SHEDSILL_BOOT"]).read_text())
     if not settings["bootstrap"]:
-        _balancer.handle_table = lambda _state, _event: []
+        replace_in(_balancer, "handle_table", lambda _state, _event: [])
 
 
-def break_flow_expiry() -> None:
+def break_flow_expiry(replace_in: Replace) -> None:
     """Let agents crash when they first expire a flow."""
-    _agent.CLOSED_FLOW_SECONDS = None
-    _agent.HALF_OPEN_TIMEOUT_SECONDS = "soon"
+    replace_in(_agent, "CLOSED_FLOW_SECONDS", None)
+    replace_in(_agent, "HALF_OPEN_TIMEOUT_SECONDS", "soon")
 
 
-MUTATIONS: dict[str, Callable[[], None]] = {
+MUTATIONS: dict[str, Callable[[Replace], None]] = {
     "content": corrupt_payloads,
     "service": ignore_services,
     "living-flows": deny_earlier_flows,
@@ -83,5 +96,5 @@
 }
 
 if __name__ == "__main__":
-    MUTATIONS[sys.argv.pop(1)]()
+    MUTATIONS[sys.argv.pop(1)](replace_attribute)
     sys.exit(main())
--- /dev/null
+++ b/shedsill/tests/test_mutant_node.py
@@ -0,0 +1,122 @@
+"""Each mutation of a node breaks the behaviour that it names.
+
+Guards against soaks that pass with a mutation because it changes nothing.
+"""
+
+from __future__ import annotations
+
+import json
+import pathlib
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from shedsill.testing.datagram_simulation import Simulation
+from shedsill.testing.mutant_node import (
+    MUTATIONS,
+    MutationError,
+    Replace,
+    replace_attribute,
+)
+from shedsill.testing.simulation_parts import ViolationError
+
+BALANCERS = ("10.0.0.1", "10.0.0.2")
+AGENTS = {"10.1.0.1": "dispatcher", "10.2.0.1": "intake"}
+FLOW_COUNT = 8
+
+
+def make_simulation() -> Simulation:
+    simulation = Simulation(services=("dispatcher", "intake"))
+    for host, service in AGENTS.items():
+        simulation.add_agent(host, service, knows_all_flows=True)
+    for host in BALANCERS:
+        simulation.add_balancer(host)
+    simulation.run(3.0)
+    return simulation
+
+
+def serve_requests(simulation: Simulation) -> None:
+    callers = [
+        simulation.add_caller(service, BALANCERS[number % 2])
+        for number in range(FLOW_COUNT)
+        for service in AGENTS.values()
+    ]
+    simulation.run(3.0)
+    assert {caller.outcome for caller in callers} == {"answered"}
+
+
+def keep_flow_over_agent_restart(simulation: Simulation) -> None:
+    caller = simulation.add_caller("dispatcher", BALANCERS[0], requests=10)
+    simulation.run(0.1)
+    simulation.kill("10.1.0.1")
+    simulation.run(0.3)
+    simulation.add_agent("10.1.0.1", "dispatcher")
+    simulation.run(10.0)
+    assert caller.outcome == "answered"
+
+
+def apply_table_after_restart(simulation: Simulation) -> None:
+    simulation.kill(BALANCERS[0])
+    state = simulation.add_balancer(BALANCERS[0])
+    simulation.run(1.0)
+    assert state.table.version > 0
+
+
+def expire_unopened_flow(simulation: Simulation) -> None:
+    caller = simulation.add_caller("dispatcher", BALANCERS[0])
+    simulation.run(0.0025)
+    caller.outcome = "timeout"
+    simulation.run(10.0)
+    assert not simulation.nodes["10.1.0.1"].flows
+
+
+SCENARIOS: dict[str, tuple[Callable[[Simulation], None], type[Exception]]] = {
+    "content": (serve_requests, ViolationError),
+    "service": (serve_requests, ViolationError),
+    "living-flows": (keep_flow_over_agent_restart, ViolationError),
+    "recovery": (apply_table_after_restart, AssertionError),
+    "processes": (expire_unopened_flow, TypeError),
+}
+
+
+@pytest.fixture
+def replace_in(monkeypatch: pytest.MonkeyPatch, tmp_path: pathlib.Path) -> Replace:
+    """Replace attributes for one test, as a restarted node does."""
+    settings = tmp_path / "settings.json"
+    settings.write_text(json.dumps({"bootstrap": False}))
+    monkeypatch.setenv("SHEDSILL_BOOT", str(settings))
+
+    def replace_for_test(owner: object, name: str, value: Any) -> None:
+        original = getattr(owner, name, None)
+        replace_attribute(owner, name, value)
+        setattr(owner, name, original)
+        monkeypatch.setattr(owner, name, value)
+
+    return replace_for_test
+
+
+def test_every_mutation_has_a_scenario() -> None:
+    assert SCENARIOS.keys() == MUTATIONS.keys()
+
+
+@pytest.mark.parametrize("name", SCENARIOS)
+def test_scenario_passes_without_mutation(name: str) -> None:
+    scenario, _error = SCENARIOS[name]
+    scenario(make_simulation())
+
+
+@pytest.mark.parametrize("name", SCENARIOS)
+def test_scenario_fails_with_mutation(name: str, replace_in: Replace) -> None:
+    scenario, error = SCENARIOS[name]
+    simulation = make_simulation()
+    MUTATIONS[name](replace_in)
+    with pytest.raises(error):
+        scenario(simulation)
+
+
+def test_mutation_that_changes_nothing_is_an_error() -> None:
+    with pytest.raises(MutationError):
+        replace_attribute(json, "no_such_name", 1)
+    with pytest.raises(MutationError):
+        replace_attribute(json, "dumps", json.dumps)
