--- a/properties/test_known_faults.py
+++ b/properties/test_known_faults.py
@@ -4,6 +4,9 @@
 
 from properties.test_datagram_world import FlowsMachine
 from shedsill.datagram._messages import UpstreamState
+from shedsill.testing.datagram_simulation import Simulation
+
+AGENT = "10.1.0.1"
 
 
 def test_balancer_restarted_in_store_outage_resets_no_live_flow() -> None:
@@ -40,3 +43,23 @@
     machine.lose_balancer_packets(host="10.0.0.3", seconds=4.415687551783472, seed=36)
     machine.toggle_store(is_up=True)
     machine.teardown()
+
+
+def test_agent_killed_after_start_of_upstream_denies_no_live_flow() -> None:
+    """The next agent takes the boot for one that began after its own start."""
+    simulation = Simulation(services=("dispatcher",))
+    simulation.add_agent(AGENT, "dispatcher", knows_all_flows=True)
+    simulation.add_balancer("10.0.0.1")
+    simulation.run(3.0)
+    simulation.crash_upstream(AGENT)
+    simulation.run(1.0)
+    upstream = simulation.start_upstream(AGENT, "dispatcher")
+    caller = simulation.add_caller("dispatcher", "10.0.0.1", requests=12)
+    simulation.run(0.013)
+    assert simulation.find_upstream_host(caller) == AGENT
+    upstream.heartbeat_serial = 1  # the first heartbeat reaches no agent
+    simulation.kill(AGENT)
+    simulation.run(0.3)
+    simulation.add_agent(AGENT, "dispatcher")
+    simulation.run(10.0)
+    assert caller.outcome == "answered"
--- a/shedsill/testing/ports.py
+++ b/shedsill/testing/ports.py
@@ -1,30 +1,36 @@
 """Free ports on loopback, below the kernel's ephemeral range.
 
 A port of the ephemeral range could be taken by an outgoing connection before the
-test binds it.  Each pytest-xdist worker has its own range.  Other processes share
-one, which they search from an offset that depends on their process id.
+test binds it.  Each process takes its ports from blocks of its own: it holds the first
+port of a block until it ends, so that several test runs can share the machine.
 """
 
 from __future__ import annotations
 
 import contextlib
+import functools
 import itertools
 import os
 import socket
 
-WORKER_VARIABLE = "PYTEST_XDIST_WORKER"
-WORKER_PREFIX = "gw"
-FIRST_WORKER_PORT = 10_000
-PORTS_PER_WORKER = 800
-MAX_WORKERS = 12
-FIRST_SHARED_PORT = FIRST_WORKER_PORT + PORTS_PER_WORKER * MAX_WORKERS
-SHARED_PORT_COUNT = 12_000
+FIRST_PORT = 10_000
+PORTS_PER_BLOCK = 400
+BLOCK_COUNT = 55
+
 _port_offsets = itertools.count()
 
 
 def get_free_ports(count: int) -> list[int]:
-    """Return ports that are free for both UDP and TCP."""
-    first, length = _get_range()
+    """Return ports that are free for both UDP and TCP, of this process's block.
+
+    Raises
+    ------
+    OSError
+        If there are not enough free ports, or no free block.
+    """
+    lock_port, _lock = _lock_block(os.getpid())
+    first = lock_port + 1
+    length = PORTS_PER_BLOCK - 1
     ports: list[int] = []
     for _ in range(length):
         port = first + next(_port_offsets) % length
@@ -35,13 +41,20 @@
     raise OSError(f"fewer than {count} free ports from {first} to {first + length}")
 
 
-def _get_range() -> tuple[int, int]:
-    worker = os.environ.get(WORKER_VARIABLE, "")
-    if worker.startswith(WORKER_PREFIX):
-        index = int(worker.removeprefix(WORKER_PREFIX)) % MAX_WORKERS
-        return FIRST_WORKER_PORT + index * PORTS_PER_WORKER, PORTS_PER_WORKER
-    offset = os.getpid() * 64 % (SHARED_PORT_COUNT - PORTS_PER_WORKER)
-    return FIRST_SHARED_PORT + offset, PORTS_PER_WORKER
+@functools.cache
+def _lock_block(process_id: int) -> tuple[int, socket.socket]:
+    """Return the first port of a process's block, and the socket that holds it."""
+    for number in range(BLOCK_COUNT):
+        index = (process_id + number) % BLOCK_COUNT
+        first = FIRST_PORT + index * PORTS_PER_BLOCK
+        lock = socket.socket(type=socket.SOCK_DGRAM)
+        try:
+            lock.bind(("", first))
+        except OSError:
+            lock.close()
+            continue
+        return first, lock
+    raise OSError(f"all {BLOCK_COUNT} blocks of ports are in use")
 
 
 def _is_free(port: int) -> bool:
