--- a/shedsill/testing/deployment.py
+++ b/shedsill/testing/deployment.py
@@ -383,23 +383,44 @@
 
     async def send_heartbeat(self, host: str, service: str) -> int:
         """Send a heartbeat; return the HTTP status, or 0 if the upstream is down."""
-        assert self._http is not None
         upstream = self.upstreams[host]
         if not upstream.alive:
             return 0
         upstream.heartbeat_serial += 1
+        return await self.send_heartbeat_of(
+            upstream, service, serial=upstream.heartbeat_serial, state=upstream.state
+        )
+
+    async def send_heartbeat_of(
+        self, upstream: Upstream, service: str, *, serial: int, state: UpstreamState
+    ) -> int:
+        """Send a heartbeat of any boot, ended or not; return the HTTP status."""
+        assert self._http is not None
         body = {
             "service": service,
-            "addr": f"{host}:{self.ports['app']}",
+            "addr": f"{upstream.host}:{self.ports['app']}",
             "slots": 3,
-            "state": upstream.state.value,
+            "state": state.value,
             "cold_left_ms": 0,
-            "seq": upstream.heartbeat_serial,
+            "seq": serial,
         }
-        url = f"http://{host}:{self.ports['control']}/-/instances/{upstream.boot}"
+        address = f"{upstream.host}:{self.ports['control']}"
+        url = f"http://{address}/-/instances/{upstream.boot}"
         async with self._http.put(url, json=body) as response:
             return response.status
 
+    async def wait_for_control(self, host: str) -> None:
+        """Wait until an agent listens for heartbeats."""
+        async with asyncio.timeout(START_TIMEOUT_SECONDS):
+            while True:
+                with contextlib.suppress(OSError):
+                    _reader, writer = await asyncio.open_connection(
+                        host, self.ports["control"]
+                    )
+                    writer.close()
+                    return
+                await asyncio.sleep(0.005)
+
     async def drain_upstream(self, host: str, service: str) -> int:
         """Have an upstream report that it is draining; return the HTTP status."""
         self.upstreams[host].state = UpstreamState.DRAINING
--- a/shedsill/tests/test_platform_processes.py
+++ b/shedsill/tests/test_platform_processes.py
@@ -7,6 +7,9 @@
 import signal
 from collections.abc import Awaitable, Callable
 
+import pytest
+
+from shedsill.datagram._messages import UpstreamState
 from shedsill.testing.deployment import Deployment
 
 BALANCERS = ("127.0.1.1", "127.0.1.2")
@@ -17,6 +20,8 @@
 }
 BALANCER_1, BALANCER_2 = BALANCERS
 AGENT_1, AGENT_2 = list(AGENTS)[:2]
+LONG_REQUESTS = 16
+"""Requests of a flow that is open for some 6 s."""
 
 
 def run_scenario(
@@ -155,3 +160,39 @@
         deployment.nodes[BALANCER_1] = first
 
     run_scenario(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("restarted", [False, True])
+@pytest.mark.parametrize("failure_mode", ["", "busy"])
+def test_late_heartbeats_of_ended_boot_end_no_flow(
+    tmp_path: pathlib.Path, failure_mode: str, restarted: bool
+) -> None:
+    """Delayed by a cut, they arrive after a new boot has registered at the address."""
+
+    async def scenario(deployment: Deployment) -> None:
+        ended = deployment.upstreams[AGENT_1]
+        ended.crash()
+        await deployment.start_upstream(AGENT_1, "dispatcher")
+        assert await deployment.send_heartbeat(AGENT_1, "dispatcher") == 200
+        deployment.store.faults.failure_mode = failure_mode
+        callers = [
+            deployment.add_caller("dispatcher", BALANCER_1, requests=LONG_REQUESTS)
+            for _ in range(6)
+        ]
+        while not all(caller.is_open for caller in callers):
+            await asyncio.sleep(0.001)
+        if restarted:
+            await deployment.kill(AGENT_1)
+            await deployment.restart(AGENT_1)
+            await deployment.wait_for_control(AGENT_1)
+        serial = ended.heartbeat_serial
+        for state in (UpstreamState.READY, UpstreamState.DRAINING):
+            for late in (serial, serial, serial + 1):
+                status = await deployment.send_heartbeat_of(
+                    ended, "dispatcher", serial=late, state=state
+                )
+                assert restarted or status == 409
+        await deployment.wait_for_outcomes(callers, 30.0)
+        assert {caller.outcome for caller in callers} == {"answered"}
+
+    run_scenario(tmp_path, scenario)
