--- a/shedsill/datagram/_balancer.py
+++ b/shedsill/datagram/_balancer.py
@@ -60,6 +60,10 @@
 PEER_EXCHANGE_INTERVAL_SECONDS = 1.0
 """Interval between exchanges of table versions with another balancer."""
 
+VERSION_ANSWER_SECONDS = 0.15
+"""Time in which other balancers answer that they have a newer table: several round
+trips between availability zones, below the callers' retransmission delay of 200 ms."""
+
 FLOW_SWEEP_INTERVAL_SECONDS = 0.25
 """Interval between sweeps that expire idle flows."""
 
@@ -82,7 +86,7 @@
     state.last_packet_at = event.now
     route = state.table.routes.get(packet.endpoint)
     if route is None:
-        return _handle_unrouted_packet(state, packet)
+        return _handle_unrouted_packet(state, packet, event.now)
     flow = state.flows.get(packet.flow)
     if is_syn(packet):
         if flow is None or flow.restored:
@@ -107,13 +111,26 @@
     return _flow_placement.assign_flow(state, flow, packet)
 
 
-def _handle_unrouted_packet(state: BalancerState, packet: Packet) -> list[Effect]:
+def _handle_unrouted_packet(
+    state: BalancerState, packet: Packet, now: float
+) -> list[Effect]:
+    """Reset a flow whose endpoint has no route in any balancer's table.
+
+    A newer table may have the route of an open flow, and the message that announced it
+    may have been lost.  The first packet is therefore dropped and the other balancers
+    are asked; the caller retransmits it after 0.2 s.
+    """
     if state.table.version == 0 or packet.flags & RST:
         return []
     fields = {"flow": packet.flow, "table": state.table.version}
-    if state.peers_ahead and not is_syn(packet):
-        # The newer table may have the route; the caller retransmits after 0.2 s.
-        return [WriteLog(event=LogEvent.TABLE_AWAITED, fields=fields)]
+    log_entry = WriteLog(event=LogEvent.TABLE_AWAITED, fields=fields)
+    if not is_syn(packet):
+        if state.peers_ahead:
+            return [log_entry]
+        since = state.unrouted_since.setdefault(packet.flow, now)
+        if state.nodes.balancers and now - since < VERSION_ANSWER_SECONDS:
+            return [log_entry, *_announce_version(state, now)]
+    state.unrouted_since.pop(packet.flow, None)
     state.flows.pop(packet.flow, None)
     state.pending_flows.pop(packet.flow, None)
     return [
@@ -122,6 +139,15 @@
     ]
 
 
+def _announce_version(state: BalancerState, now: float) -> list[Effect]:
+    """Have the balancers that have a newer table announce it."""
+    if now - state.version_announced_at < VERSION_ANSWER_SECONDS:
+        return []
+    state.version_announced_at = now
+    announcement = Announcement(report=state.report)
+    return [SendMessage(host, announcement) for host in state.nodes.balancers]
+
+
 def handle_packets_drained(state: BalancerState, event: PacketsDrained) -> list[Effect]:
     """Send the `Locate` messages collected since the sockets were last drained."""
     return _flow_search.send_locates(state)
@@ -251,6 +277,7 @@
     }
     state.table = event.table
     state.peers_ahead.clear()
+    state.unrouted_since.clear()
     state.report = replace(
         state.report, version=event.table.version, serial=state.report.serial + 1
     )
@@ -304,6 +331,9 @@
     for key, at in list(state.resets.items()):
         if now - at > RESET_RETENTION_SECONDS:
             del state.resets[key]
+    for key, at in list(state.unrouted_since.items()):
+        if now - at > RESET_RETENTION_SECONDS:
+            del state.unrouted_since[key]
     return []
 
 
--- a/shedsill/datagram/_balancer_state.py
+++ b/shedsill/datagram/_balancer_state.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from msgspec import Struct, field
 
 from shedsill._catalogue import LogEvent
@@ -109,6 +111,10 @@
         Balancers that have a newer table, with their availability zones.
     behind_since : float
         When a newer table was first announced or last requested.
+    unrouted_since : dict of bytes to float
+        Flows without a route, with the time of the first packet that was dropped.
+    version_announced_at : float
+        When the other balancers were last asked for a newer table.
     resets : dict of bytes to float
         Recently reset flows, with the time of their last packet.
     pending_locates : dict of str to list of bytes
@@ -138,6 +144,8 @@
     next_sync_at: float = 0.0
     peers_ahead: dict[str, str] = field(default_factory=dict)
     behind_since: float = 0.0
+    unrouted_since: dict[bytes, float] = field(default_factory=dict)
+    version_announced_at: float = -math.inf
     resets: dict[bytes, float] = field(default_factory=dict)
     pending_locates: dict[str, list[bytes]] = field(default_factory=dict)
     hosts_with_flows: set[str] = field(default_factory=set)
--- a/shedsill/datagram/_membership.py
+++ b/shedsill/datagram/_membership.py
@@ -62,6 +62,8 @@
     effects = _handle_changed_report(state, report, before)
     if report.role == Role.BALANCER:
         _record_peer_version(state, report, now)
+        if report.version < state.table.version:
+            effects.append(SendMessage(report.host, Announcement(report=state.report)))
         return effects
     view = state.nodes.upstreams[report.host]
     if report.boot and view.confirmed_boot != report.boot:
--- a/shedsill/tests/test_datagram_lost_messages.py
+++ b/shedsill/tests/test_datagram_lost_messages.py
@@ -135,6 +135,49 @@
     assert not caller.outcome and caller.answers > 1
 
 
+def open_flow_of_new_route(simulation: Simulation) -> Caller:
+    """Move a flow of a new route to a balancer that the new table did not reach."""
+    simulation.publish_table(
+        simulation.make_table(2, excluded="intake"), (BALANCER_1, BALANCER_2)
+    )
+    simulation.run(0.1)
+    while simulation.nodes[BALANCER_1].next_peer_exchange_at < simulation.now + 0.8:
+        simulation.run(0.04)
+    drop_messages_between(simulation, (BALANCER_1, BALANCER_2))
+    simulation.publish_table(simulation.make_table(3), (BALANCER_1,))
+    simulation.run(0.01)
+    drop_messages_between(simulation)
+    caller = open_flow(simulation, BALANCER_1, "intake")
+    simulation.balancer_by_flow[caller.flow] = BALANCER_2
+    caller.send_request()
+    return caller
+
+
+def test_flow_of_route_in_newer_table_is_not_reset_after_lost_announcement(
+    simulation: Simulation,
+) -> None:
+    """No route in the own table is no proof that no balancer has one."""
+    caller = open_flow_of_new_route(simulation)
+    simulation.run(2.0)
+    assert not simulation.reset_callers
+    assert not caller.outcome and caller.answers > 1
+
+
+def test_flow_without_route_is_reset_with_its_next_packet(
+    simulation: Simulation,
+) -> None:
+    caller = open_flow(simulation, BALANCER_1, "intake")
+    holder = simulation.find_upstream_host(caller)
+    simulation.publish_table(
+        simulation.make_table(2, excluded="intake"), (BALANCER_1, BALANCER_2)
+    )
+    simulation.upstreams[holder].flows.clear()
+    simulation.balancer_by_flow[caller.flow] = BALANCER_2
+    caller.send_request()
+    simulation.run(0.25)
+    assert caller.outcome == "reset"
+
+
 def test_outdated_report_from_store_resets_no_flow(simulation: Simulation) -> None:
     """It may be of an earlier incarnation, after an outage of the store."""
     caller = open_flow(simulation)
