--- a/shedsill/datagram/_membership.py
+++ b/shedsill/datagram/_membership.py
@@ -192,6 +192,9 @@
         return effects
     if roster.complete:
         state.hosts_to_sync = subtract_range(state.hosts_to_sync, roster.hosts)
+    if roster.hosts.after and not state.peers_synced:
+        # One line for each answer, and one when the list is complete.
+        return effects
     fields = {
         "balancer": source,
         "complete": roster.complete,
--- a/shedsill/tests/test_datagram_report_polling.py
+++ b/shedsill/tests/test_datagram_report_polling.py
@@ -26,9 +26,11 @@
 BALANCER_1, BALANCER_2 = "10.0.0.1", "10.0.0.2"
 AGENT_1, AGENT_2 = "10.1.0.1", "10.1.0.2"
 MANY_REQUESTS = 1000
-AGENT_REPORT = dump_report(
-    NodeReport(
-        host=AGENT_1,
+
+
+def make_agent_report(host: str) -> NodeReport:
+    return NodeReport(
+        host=host,
         role=Role.AGENT,
         zone="z1",
         incarnation=77,
@@ -36,7 +38,6 @@
         boot="i-9",
         state=UpstreamState.READY,
     )
-)
 
 
 @pytest.fixture
@@ -110,15 +111,7 @@
 
 def test_collector_relays_agents_read_from_store(simulation: Simulation) -> None:
     state = simulation.nodes[BALANCER_2]
-    report = NodeReport(
-        host=AGENT_2,
-        role=Role.AGENT,
-        zone="z1",
-        incarnation=77,
-        service="dispatcher",
-        boot="i-9",
-        state=UpstreamState.READY,
-    )
+    report = make_agent_report(AGENT_2)
     simulation._dispatch(
         BALANCER_1, ReportsListed(reports=(report,), now=simulation.now)
     )
@@ -252,8 +245,9 @@
             await asyncio.sleep(0.2)
             assert len(store.patiences) == 1
             listed_at = node.state.polling.read_at
+            report = dump_report(make_agent_report(AGENT_1))
             await store.call(
-                Put(kind=REPORT_KIND, name=AGENT_1, value=AGENT_REPORT, expected=0)
+                Put(kind=REPORT_KIND, name=AGENT_1, value=report, expected=0)
             )
             for effect in _report_polling.request_read(node.state.polling, node.now):
                 node.execute(effect)
