--- a/shedsill/datagram/_agent.py
+++ b/shedsill/datagram/_agent.py
@@ -79,6 +79,7 @@
         unknown=[],
         unsure=[],
         load=build_load(state, now),
+        may_hold_recent=state.may_hold_recent,
     )
     for key in flows:
         flow = state.flows.get(key)
@@ -145,8 +146,9 @@
             del state.balancers[host]
     if len(state.trial_flows) > MAX_TRIAL_FLOWS:
         state.trial_flows.clear()
-    if not state.knows_all_flows and now - state.started_at > state.flow_lifetime:
+    if now - state.started_at > state.flow_lifetime:
         state.knows_all_flows = True
+        state.may_hold_recent = False
     return effects
 
 
--- a/shedsill/datagram/_agent_packets.py
+++ b/shedsill/datagram/_agent_packets.py
@@ -112,7 +112,8 @@
     state: AgentState, packet: Packet, balancer: str, now: float
 ) -> list[Effect]:
     """Return a packet, or send it to the upstream, which bounces it if not its own."""
-    if state.knows_all_flows or state.report.state == UpstreamState.GONE:
+    is_denied = state.knows_all_flows and not state.may_hold_recent
+    if is_denied or state.report.state == UpstreamState.GONE:
         return return_packet(state, packet, balancer, ReturnReason.NOT_HELD, now)
     if len(state.trial_flows) < MAX_FLOWS:
         state.trial_flows[packet.flow] = balancer
--- a/shedsill/datagram/_agent_state.py
+++ b/shedsill/datagram/_agent_state.py
@@ -123,6 +123,9 @@
         `last_heartbeat_at` plus the time for which this process did not run since.
     first_heartbeat_received : bool
         Whether the current boot's first heartbeat was received.
+    may_hold_recent : bool
+        Whether the current boot may have begun before this agent's start, after the
+        earlier incarnation of this agent stored its last report.
     cold_until : float
         When the upstream reaches its full speed after its start.
     refused_until : float
@@ -151,6 +154,7 @@
     last_heartbeat_at: float = 0.0
     heartbeat_silence_started_at: float = 0.0
     first_heartbeat_received: bool = False
+    may_hold_recent: bool = False
     cold_until: float = 0.0
     busy: int = 0
     running: int = 0
--- a/shedsill/datagram/_failure_detection.py
+++ b/shedsill/datagram/_failure_detection.py
@@ -178,6 +178,7 @@
 ) -> None:
     """Replace an agent's incarnation, and clear the silence of the previous one."""
     nodes.retired_incarnations[view.report.incarnation] = now
+    view.earlier_heard_at = view.last_heard_at
     view.report = replace(report, load=view.report.load)
     schedule_probe(view, now)
     view.unanswered_probes = 0
--- a/shedsill/datagram/_flow_search.py
+++ b/shedsill/datagram/_flow_search.py
@@ -25,6 +25,10 @@
 from shedsill.datagram._search_state import Search, SearchPhase
 from shedsill.datagram._selection import list_preferred_hosts
 
+RECENT_FLOW_SECONDS = 0.5
+"""Time in which an agent stores the report of a new boot: a slow store answers in
+0.3 s."""
+
 FLOWS_PER_LOCATE = 80
 """Flows in one `Locate` message; at 14 bytes each, the message and its answer fit into
 a datagram of 1,200 bytes."""
@@ -158,10 +162,32 @@
             flow.boot = located.boot or flow.boot
     # If an agent was asked about a flow twice, its answer may list the flow twice.
     unknown = dict.fromkeys(located.unknown)
-    ended = [key for key in unknown if _is_unverified(state, key, host)]
+    unverified = [key for key in unknown if _is_unverified(state, key, host)]
+    ended = []
+    for key in unverified:
+        flow = state.flows[key]
+        if located.may_hold_recent and _is_recent(state, flow):
+            flow.unverified = False
+            flow.boot = located.boot
+        else:
+            ended.append(key)
     return reset_flows(state, ended, host, "upstream restarted")
 
 
+def _is_recent(state: BalancerState, flow: BalancerFlow) -> bool:
+    """Whether a flow was opened shortly before its agent's last restart.
+
+    The upstream may then have accepted it in a boot that the agent's previous
+    incarnation had not stored yet.  The flow's next packet shows it.
+    """
+    view = state.nodes.upstreams.get(flow.host)
+    return (
+        view is not None
+        and not flow.restored
+        and flow.started_at > view.earlier_heard_at - RECENT_FLOW_SECONDS
+    )
+
+
 def _is_unverified(state: BalancerState, key: bytes, host: str) -> bool:
     flow = state.flows.get(key)
     return flow is not None and flow.unverified and flow.host == host
--- a/shedsill/datagram/_messages.py
+++ b/shedsill/datagram/_messages.py
@@ -83,6 +83,8 @@
         Whether a planned stop of the process has begun; the upstream may stay up.
     version : int
         Version of the forwarding table in use; 0 for agents.
+    previous_boot : str
+        The upstream's boot before the current one; empty if unknown.
     """
 
     host: str
@@ -96,6 +98,7 @@
     stopping: bool = False
     load: Load = field(default_factory=Load)
     version: int = 0
+    previous_boot: str = ""
 
 
 class Announcement(Struct, frozen=True, kw_only=True, array_like=True):
@@ -168,10 +171,13 @@
     held : list of bytes
         Flows that the upstream holds.
     unknown : list of bytes
-        Flows that the upstream certainly does not hold.
+        Flows that the upstream does not hold.
     unsure : list of bytes
         Flows that the upstream may have held since before the agent's start; only its
         answer to a packet of the flow shows it.
+    may_hold_recent : bool
+        Whether the upstream may hold some of the `unknown` flows that were opened
+        shortly before the end of the agent's previous incarnation.
     """
 
     boot: str
@@ -179,6 +185,7 @@
     unknown: list[bytes]
     unsure: list[bytes]
     load: Load
+    may_hold_recent: bool = False
 
 
 class ReturnReason(enum.Enum):
@@ -345,6 +352,7 @@
     try:
         fields = dict(value)  # type: ignore[call-overload]
         fields["load"] = [fields["load"][name] for name in Load.__struct_fields__]
+        fields.setdefault("previous_boot", "")
         ordered = [fields[name] for name in NodeReport.__struct_fields__]
         return msgspec.convert(ordered, NodeReport)
     except (msgspec.MsgspecError, LookupError, TypeError, ValueError) as error:
--- a/shedsill/datagram/_selection.py
+++ b/shedsill/datagram/_selection.py
@@ -83,6 +83,8 @@
         Another incarnation reported indirectly since.
     confirmed_boot : str
         Upstream boot last reported by the agent itself; empty if there is none.
+    earlier_heard_at : float
+        When the last message of the agent's previous incarnation arrived.
     """
 
     report: NodeReport
@@ -99,6 +101,7 @@
     confirmed_incarnation: int = 0
     reported_incarnation: int = 0
     confirmed_boot: str = ""
+    earlier_heard_at: float = 0.0
 
 
 def hash_service(service: str) -> int:
--- a/shedsill/datagram/_upstream.py
+++ b/shedsill/datagram/_upstream.py
@@ -30,7 +30,7 @@
     UpstreamLeaving,
 )
 from shedsill.datagram._health import record_crash
-from shedsill.datagram._messages import UpstreamState
+from shedsill.datagram._messages import NodeReport, UpstreamState
 
 FIRST_SERIAL = 1
 """Serial of the first heartbeat of an upstream's boot."""
@@ -109,17 +109,25 @@
     """
     previous = state.report.boot
     alive_at = state.last_heartbeat_at
-    state.report = replace(state.report, boot=heartbeat.boot)
+    stored = state.earlier_boot if state.earlier_boot != heartbeat.boot else ""
+    state.report = replace(
+        state.report,
+        boot=heartbeat.boot,
+        previous_boot=previous or stored or state.report.previous_boot,
+    )
     state.heartbeat_serial = 0
     state.upstream_leaving = False
     state.first_heartbeat_received = heartbeat.serial == FIRST_SERIAL
-    if state.first_heartbeat_received or state.earlier_boot not in ("", heartbeat.boot):
+    if state.first_heartbeat_received:
         state.knows_all_flows = True
+    elif state.earlier_boot not in ("", heartbeat.boot):
+        state.knows_all_flows = state.may_hold_recent = True
     _record_earlier_boot_ended(state)
     if not previous:
         return []
     state.ended_boots.add(previous)
     state.knows_all_flows = True
+    state.may_hold_recent = False
     if state.report.state == UpstreamState.READY:
         record_crash(state.health, now)
     resent = _resend_running_requests(state, alive_at)
@@ -166,10 +174,13 @@
     earlier, report = event.report, state.report
     if earlier.incarnation == report.incarnation:
         return []
+    if earlier.previous_boot:
+        report = state.report = _record_previous_boot(state, earlier)
     if event.at_start:
         state.earlier_boot = earlier.boot
         if earlier.boot and report.boot and earlier.boot != report.boot:
             state.knows_all_flows = True
+            state.may_hold_recent = not state.first_heartbeat_received
             _record_earlier_boot_ended(state)
     if not report.load.slots and earlier.service == report.service:
         load = replace(report.load, slots=earlier.load.slots)
@@ -182,6 +193,21 @@
     return [WriteLog(event=LogEvent.EARLIER_REPORT, fields=fields)]
 
 
+def _record_previous_boot(state: AgentState, earlier: NodeReport) -> NodeReport:
+    """Ignore heartbeats of the stored boot's predecessor; return the own report.
+
+    If such a heartbeat was the first one to arrive, the current boot is unknown again.
+    """
+    state.ended_boots.add(earlier.previous_boot)
+    report = state.report
+    if report.boot == earlier.previous_boot:
+        state.knows_all_flows = state.first_heartbeat_received = False
+        report = replace(report, boot="", state=UpstreamState.UNKNOWN)
+    if report.boot in ("", earlier.boot):
+        report = replace(report, previous_boot=earlier.previous_boot)
+    return report
+
+
 def _was_taken_after(flow: AgentFlow, since: float) -> bool:
     return flow.taken_at is not None and flow.taken_at > since
 
@@ -252,6 +278,7 @@
         effects += update_upstream_state(state, UpstreamState.UNRESPONSIVE, now)
     if event.refused:
         state.knows_all_flows = True
+        state.may_hold_recent = False
         if not state.upstream_leaving:
             record_crash(state.health, now)
         effects += reset_flows(state, "upstream refuses connections", now)
--- a/shedsill/tests/test_datagram_heartbeats.py
+++ b/shedsill/tests/test_datagram_heartbeats.py
@@ -172,6 +172,66 @@
     assert agent.busy == agent.running == 1
 
 
+def restart_agent(
+    *beats: tuple[str, int], earlier: tuple[str, str], read_after: int = 0
+) -> AgentState:
+    """Start an agent that reads a stored report after some heartbeats.
+
+    Parameters
+    ----------
+    earlier : tuple of str
+        Boot and previous boot in the stored report.
+    read_after : int
+        Number of heartbeats that arrive before the report is read.
+    """
+    state = make_agent_state(slots=0)
+    state.knows_all_flows = False
+    state.report = replace(
+        state.report, boot="", state=UpstreamState.UNKNOWN, incarnation=7
+    )
+    boot, previous = earlier
+    report = replace(state.report, incarnation=3, boot=boot, previous_boot=previous)
+    read = EarlierReportRead(report=report, at_start=True, now=1.0)
+    for number, (name, serial) in enumerate(beats):
+        if number == read_after:
+            handle_earlier_report(state, read)
+        send_heartbeat(state, name, serial, 1.0 + 0.01 * number)
+    if read_after >= len(beats):
+        handle_earlier_report(state, read)
+    return state
+
+
+@pytest.mark.parametrize("serial", [FIRST_SERIAL, 9])
+@pytest.mark.parametrize("read_after", [0, 1, 2])
+def test_late_heartbeat_of_stored_previous_boot_is_no_new_boot(
+    read_after: int, serial: int
+) -> None:
+    """The agent would deny all flows from before its start."""
+    state = restart_agent(
+        ("i-1", serial),
+        ("i-1", serial + 1),
+        ("i-2", 6),
+        earlier=("i-2", "i-1"),
+        read_after=read_after,
+    )
+    assert state.report.boot == "i-2"
+    assert not state.knows_all_flows
+    assert state.report.previous_boot == "i-1"
+
+
+def test_boot_that_may_have_begun_before_the_agent_may_hold_recent_flows() -> None:
+    state = restart_agent(("i-3", 2), earlier=("i-2", "i-1"))
+    assert state.knows_all_flows
+    assert state.may_hold_recent
+    assert state.report.previous_boot == "i-2"
+
+
+def test_boot_whose_first_heartbeat_arrives_holds_no_earlier_flow() -> None:
+    state = restart_agent(("i-3", FIRST_SERIAL), earlier=("i-2", "i-1"))
+    assert state.knows_all_flows
+    assert not state.may_hold_recent
+
+
 async def send_heartbeats_over_http(*beats: tuple[str, int, str]) -> list[int]:
     """Handle heartbeat requests at an agent; return the status codes of its answers."""
     host, ports = "127.0.0.4", get_free_ports(NODE_PORT_COUNT + 2)
--- a/shedsill/tests/test_datagram_restarts.py
+++ b/shedsill/tests/test_datagram_restarts.py
@@ -155,3 +155,33 @@
     simulation.send_heartbeat(AGENT_1)
     simulation.run(6.0)
     assert caller.outcome == "answered"
+
+
+def restart_agent_with_upstream(simulation: Simulation) -> None:
+    """Restart both; the new boot's first heartbeat reaches no agent."""
+    simulation.crash_upstream(AGENT_1)
+    simulation.kill(AGENT_1)
+    simulation.run(0.2)
+    simulation.start_upstream(AGENT_1, "dispatcher").heartbeat_serial = 1
+    simulation.run(0.1)
+    simulation.add_agent(AGENT_1, "dispatcher")
+
+
+def test_flow_from_before_restart_of_agent_and_upstream_is_reset(
+    simulation: Simulation,
+) -> None:
+    caller = open_flow(simulation)
+    simulation.run(2.0)
+    restart_agent_with_upstream(simulation)
+    simulation.run(0.1)
+    assert caller.outcome == "reset"
+
+
+def test_flow_opened_shortly_before_restart_of_agent_and_upstream_is_reset(
+    simulation: Simulation,
+) -> None:
+    """The caller's next packet shows that the new boot does not hold the flow."""
+    caller = open_flow(simulation)
+    restart_agent_with_upstream(simulation)
+    simulation.run(0.3)
+    assert caller.outcome == "reset"
--- a/shedsill/tests/test_datagram_rosters.py
+++ b/shedsill/tests/test_datagram_rosters.py
@@ -16,7 +16,15 @@
 from shedsill.datagram._failure_detection import SYNC_TIMEOUT_SECONDS
 from shedsill.datagram._key_ranges import KeyRange, split_by_key, subtract_range
 from shedsill.datagram._membership import REPORTS_PER_MESSAGE, answer_probe
-from shedsill.datagram._messages import Announcement, Roster, encode_message
+from shedsill.datagram._messages import (
+    Announcement,
+    Load,
+    NodeReport,
+    Role,
+    Roster,
+    UpstreamState,
+    encode_message,
+)
 from shedsill.testing.datagram_simulation import Simulation
 from shedsill.testing.flow_endpoints import Caller
 
@@ -200,9 +208,28 @@
     assert caller.outcome == "reset"
 
 
-def test_roster_fits_into_datagram(simulation: Simulation) -> None:
-    for roster in list_rosters(simulation, BALANCER_1, BALANCER_2):
-        assert len(encode_message(roster)) <= MAX_DATAGRAM_BYTES
+def test_roster_fits_into_datagram() -> None:
+    host = "10.123.123.123"
+    report = NodeReport(
+        host=host,
+        role=Role.AGENT,
+        zone="z" * 12,
+        incarnation=2**48,
+        serial=2**16,
+        service="s" * 16,
+        boot="i-" + "f" * 10,
+        previous_boot="i-" + "e" * 10,
+        state=UpstreamState.UNRESPONSIVE,
+        stopping=True,
+        load=Load(busy=300, average=0.1, slots=300, flows=3000, cold=0.1, avoided=0.1),
+    )
+    roster = Roster(
+        reports=[report] * REPORTS_PER_MESSAGE,
+        hosts=KeyRange(host.encode(), host.encode()),
+        complete=True,
+        requester=2**48,
+    )
+    assert len(encode_message(roster)) <= MAX_DATAGRAM_BYTES
 
 
 keys = st.binary(max_size=2)
