--- a/shedsill/_catalogue.py
+++ b/shedsill/_catalogue.py
@@ -135,6 +135,8 @@
     UPSTREAM_UNREACHED = Entry(623, Level.INFO, "connection to the upstream failed")
     UPSTREAM_FAILING = Entry(627, Level.WARNING, "upstream answers too quickly")
     HEARTBEAT_OUTDATED = Entry(628, Level.INFO, "heartbeat of an earlier boot ignored")
+    HEARTBEAT_STALE = Entry(637, Level.INFO, "heartbeat with an earlier serial")
+    LEAVE_IGNORED = Entry(638, Level.INFO, "end of another boot ignored")
     UPSTREAM_LOST = Entry(622, Level.WARNING, "agent does not answer")
     HEARTBEAT_TAKEN = Entry(624, Level.INFO, "heartbeat changed the upstream's state")
     BALANCER_ISOLATED = Entry(
--- a/shedsill/datagram/_agent_packets.py
+++ b/shedsill/datagram/_agent_packets.py
@@ -223,9 +223,9 @@
     state.trial_flows.pop(packet.flow, None)
     flow = state.flows.get(packet.flow)
     effects = _slots.drop_request(state, packet.flow, now)
-    state.flows.pop(packet.flow, None)
     bounced_syn = is_syn(packet)
     if flow is not None and not bounced_syn and _was_open(flow):
+        del state.flows[packet.flow]
         fields = {"flows": 1, "reason": "bounced", "boot": state.report.boot}
         log_entry = WriteLog(event=LogEvent.FLOWS_FREED, fields=fields)
         return [*effects, ResetFlow(packet.flow, flow.caller_ack), log_entry]
@@ -233,6 +233,7 @@
         state.refused_until = now + REFUSAL_BACKOFF_SECONDS
     reason = ReturnReason.REFUSED if bounced_syn else ReturnReason.NOT_HELD
     balancer = packet.balancer or (flow.balancer if flow else "")
-    if not balancer:
-        return effects
-    return effects + return_packet(state, packet, balancer, reason, now)
+    if balancer:
+        effects += return_packet(state, packet, balancer, reason, now)
+    state.flows.pop(packet.flow, None)
+    return effects
--- a/shedsill/datagram/_agent_state.py
+++ b/shedsill/datagram/_agent_state.py
@@ -228,6 +228,7 @@
         return []
     load = build_load(state, now)
     boot = state.report.boot
+    flow = state.flows.get(packet.flow)
     if is_syn(packet):
         message = PacketReturned(
             packet=packet.data, boot=boot, reason=reason, load=load
@@ -241,6 +242,8 @@
         "held": len(state.backlog.requests),
         "balancer": balancer,
         "complete": state.knows_all_flows,
+        "phase": flow.phase.value if flow else "",
+        "copy": packet.copy,
     }
     return [
         SendMessage(balancer, message),
--- a/shedsill/datagram/_upstream.py
+++ b/shedsill/datagram/_upstream.py
@@ -57,7 +57,7 @@
     if heartbeat.boot != report.boot:
         effects += _change_boot(state, heartbeat, now)
     elif heartbeat.serial <= state.heartbeat_serial:
-        return []
+        return [_log_stale(state, heartbeat)]
     state.heartbeat_serial = heartbeat.serial
     state.last_heartbeat_at = state.heartbeat_silence_started_at = now
     state.cold_until = now + heartbeat.cold
@@ -101,6 +101,17 @@
     return WriteLog(event=LogEvent.HEARTBEAT_OUTDATED, fields=fields)
 
 
+def _log_stale(state: AgentState, heartbeat: Heartbeat) -> WriteLog:
+    fields = {
+        "boot": heartbeat.boot,
+        "serial": heartbeat.serial,
+        "last": state.heartbeat_serial,
+        "says": heartbeat.state.value,
+        "state": state.report.state.value,
+    }
+    return WriteLog(event=LogEvent.HEARTBEAT_STALE, fields=fields)
+
+
 def _change_boot(state: AgentState, heartbeat: Heartbeat, now: float) -> list[Effect]:
     """Switch to a new boot of the upstream and reset the flows of the previous one.
 
@@ -230,7 +241,13 @@
         if flow.phase == Phase.OPEN and not flow.closed:
             effects.append(ResetFlow(key, flow.caller_ack))
         del state.flows[key]
-    fields = {"flows": len(effects), "reason": reason, "boot": state.report.boot}
+    fields = {
+        "flows": len(effects),
+        "reason": reason,
+        "boot": state.report.boot,
+        "previous": state.report.previous_boot,
+        "kept": len(state.flows),
+    }
     state.trial_flows.clear()
     log_entry = WriteLog(event=LogEvent.FLOWS_FREED, fields=fields)
     return [*effects, log_entry, *_slots.drop_orphaned_requests(state, now)]
@@ -239,7 +256,12 @@
 def handle_leave(state: AgentState, event: UpstreamLeaving) -> list[Effect]:
     """Mark the upstream as gone, since it has announced the end of its boot."""
     if event.boot != state.report.boot:
-        return []
+        fields = {
+            "boot": event.boot,
+            "current": state.report.boot,
+            "state": state.report.state.value,
+        }
+        return [WriteLog(event=LogEvent.LEAVE_IGNORED, fields=fields)]
     state.upstream_leaving = True
     state.last_check_at = event.now
     return [
--- a/shedsill/tests/test_datagram_heartbeats.py
+++ b/shedsill/tests/test_datagram_heartbeats.py
@@ -9,11 +9,17 @@
 from msgspec.structs import replace
 
 from shedsill._addresses import Address
+from shedsill._catalogue import LogEvent
 from shedsill.coordination.platform import MemoryPlatform
 from shedsill.datagram._agent_state import AgentFlow, AgentState, Phase
 from shedsill.datagram._backlog import QueuedRequest
 from shedsill.datagram._effects import Effect, ResetFlow, SendToUpstream
-from shedsill.datagram._events import EarlierReportRead, Heartbeat, HeartbeatReceived
+from shedsill.datagram._events import (
+    EarlierReportRead,
+    Heartbeat,
+    HeartbeatReceived,
+    UpstreamLeaving,
+)
 from shedsill.datagram._messages import Role, UpstreamState
 from shedsill.datagram._runtime.agent import create_agent
 from shedsill.datagram._upstream import (
@@ -21,6 +27,7 @@
     FIRST_SERIAL,
     handle_earlier_report,
     handle_heartbeat,
+    handle_leave,
 )
 from shedsill.platform.heartbeats import InstanceCalls
 from shedsill.testing.agents import make_agent_state
@@ -286,3 +293,11 @@
         )
     )
     assert statuses == [200, 409, 409, 200]
+
+
+def test_ignored_calls_leave_a_log_line(agent: AgentState) -> None:
+    """A call without effect could not be told from one that never arrived."""
+    stale = send_heartbeat(agent, "i-2", 4, 1.2)
+    left = handle_leave(agent, UpstreamLeaving(boot="i-9", now=1.3))
+    assert [effect.event for effect in stale] == [LogEvent.HEARTBEAT_STALE]
+    assert [effect.event for effect in left] == [LogEvent.LEAVE_IGNORED]
