--- a/shedsill/datagram/_runtime/agent.py
+++ b/shedsill/datagram/_runtime/agent.py
@@ -31,6 +31,7 @@
     Node,
     generate_incarnation,
 )
+from shedsill.datagram._upstream import is_confirmed
 from shedsill.datagram.adapter import (
     HeartbeatCodec,
     NodeSettings,
@@ -140,14 +141,12 @@
         match call:
             case Heartbeat():
                 self.dispatch(HeartbeatReceived(heartbeat=call, now=self.now))
-                if call.boot != self.state.report.boot:
-                    # Rejected, so that it does not confirm a drain.
-                    return Response(status=HTTP_CONFLICT, body=b"{}")
             case UpstreamLeaving():
                 self.dispatch(call)
             case None:
                 return Response(status=HTTP_NOT_FOUND, body=b"{}")
-        return Response(status=HTTP_OK, body=b"{}")
+        status = HTTP_OK if is_confirmed(self.state, call) else HTTP_CONFLICT
+        return Response(status=status, body=b"{}")
 
     async def _check_upstream(self) -> None:
         opened = refused = False
--- a/shedsill/datagram/_upstream.py
+++ b/shedsill/datagram/_upstream.py
@@ -79,6 +79,15 @@
     return [*effects, WriteLog(event=LogEvent.HEARTBEAT_TAKEN, fields=fields)]
 
 
+def is_confirmed(state: AgentState, call: Heartbeat | UpstreamLeaving) -> bool:
+    """Whether a call that was handled is answered with success."""
+    match call:
+        case Heartbeat(boot=boot):
+            return boot == state.report.boot
+        case UpstreamLeaving():
+            return True
+
+
 def _is_outdated(state: AgentState, heartbeat: Heartbeat, now: float) -> bool:
     """Whether a heartbeat may be a delayed one of a boot that has ended.
 
--- a/shedsill/testing/datagram_simulation.py
+++ b/shedsill/testing/datagram_simulation.py
@@ -2,7 +2,8 @@
 
 The nodes run their real reducers and exchange real packets.  Time advances only in
 `Simulation.run`.  Callers and upstreams raise `ViolationError` if a packet was altered,
-if a flow reaches the wrong service, or if a flow is reset while its upstream holds it.
+if a flow reaches the wrong service or an upstream whose end was confirmed, or if a flow
+is reset while its upstream holds it.
 """
 
 from __future__ import annotations
@@ -65,6 +66,7 @@
     encode_message,
 )
 from shedsill.datagram._reducer import reduce
+from shedsill.datagram._upstream import is_confirmed
 from shedsill.testing.flow_endpoints import (
     CODEC,
     FIRST_PORT,
@@ -220,7 +222,16 @@
 
     def start_upstream(self, host: str, service: str) -> Upstream:
         """Start an upstream with a new boot ID."""
-        boot = f"i-{next(self._sequence)}"
+        return self._add_upstream(host, service, f"i-{next(self._sequence)}")
+
+    def restart_upstream(self, host: str, service: str) -> Upstream:
+        """Crash an upstream and start it again under its ID."""
+        self.crash_upstream(host)
+        upstream = self._add_upstream(host, service, self.upstreams[host].boot)
+        upstream.started_ms = round(self.now * 1000)
+        return upstream
+
+    def _add_upstream(self, host: str, service: str, boot: str) -> Upstream:
         upstream = Upstream(
             host=host,
             port=self._get_port(service),
@@ -253,17 +264,30 @@
         """Request a graceful stop of a node."""
         self._dispatch(host, StopRequested(now=self.now))
 
-    def drain_upstream(self, host: str) -> None:
-        """Have an upstream report that it is draining."""
+    def drain_upstream(self, host: str) -> bool:
+        """Have an upstream say that it is draining; return whether it is confirmed."""
         self.upstreams[host].state = UpstreamState.DRAINING
-        self.send_heartbeat(host)
+        return self.send_heartbeat(host)
 
     def withdraw_upstream(self, host: str) -> None:
         """Have an upstream announce that it is leaving, and end it."""
-        boot = self.upstreams[host].boot
-        self._dispatch(host, UpstreamLeaving(boot=boot, now=self.now))
+        self.announce_end(host)
         self.crash_upstream(host)
 
+    def announce_end(self, host: str) -> bool:
+        """Have an upstream announce that it ends; return whether that is confirmed."""
+        upstream = self.upstreams[host]
+        event = UpstreamLeaving(boot=upstream.boot, now=self.now)
+        self._dispatch(host, event)
+        confirmed = self._is_confirmed(host, event)
+        if confirmed:
+            upstream.handle_confirmation()
+        return confirmed
+
+    def _is_confirmed(self, host: str, call: Heartbeat | UpstreamLeaving) -> bool:
+        state = self.nodes.get(host)
+        return isinstance(state, AgentState) and is_confirmed(state, call)
+
     def read_reports(self, host: str) -> None:
         """Have a balancer read all reports from the store."""
         if self.store_available and host in self.nodes:
@@ -351,19 +375,27 @@
             lambda: self.nodes.get(host) is state and self._repeat_heartbeat(host),
         )
 
-    def send_heartbeat(self, host: str) -> None:
-        """Send a heartbeat of an upstream to its agent, if the upstream is alive."""
+    def send_heartbeat(self, host: str) -> bool:
+        """Send an upstream's heartbeat to its agent; return whether it is confirmed."""
         upstream = self.upstreams[host]
         if not upstream.alive:
-            return
+            return False
         upstream.heartbeat_serial += 1
-        heartbeat = Heartbeat(
-            boot=upstream.boot,
-            serial=upstream.heartbeat_serial,
-            state=upstream.state,
-            slots=3,
+        return self.send_heartbeat_of(
+            upstream, serial=upstream.heartbeat_serial, state=upstream.state
         )
-        self._dispatch(host, HeartbeatReceived(heartbeat=heartbeat, now=self.now))
+
+    def send_heartbeat_of(
+        self, upstream: Upstream, *, serial: int, state: UpstreamState
+    ) -> bool:
+        """Send a heartbeat of any boot, ended or not, to the agent of its VM."""
+        heartbeat = Heartbeat(boot=upstream.boot, serial=serial, state=state, slots=3)
+        received = HeartbeatReceived(heartbeat=heartbeat, now=self.now)
+        self._dispatch(upstream.host, received)
+        confirmed = self._is_confirmed(upstream.host, heartbeat)
+        if confirmed and state == UpstreamState.DRAINING:
+            upstream.handle_confirmation()
+        return confirmed
 
     # Time and effects
 
--- a/shedsill/testing/flow_endpoints.py
+++ b/shedsill/testing/flow_endpoints.py
@@ -2,8 +2,8 @@
 
 Both exchange real packets through a `send` function and set timers through a
 `schedule` function, so that they work in memory and over sockets.  They raise
-`ViolationError` if a packet was altered, if a SYN reaches the wrong service, or if a
-flow is reset while its upstream holds it.
+`ViolationError` if a packet was altered, if a SYN reaches the wrong service or an
+upstream whose end was confirmed, or if a flow is reset while its upstream holds it.
 """
 
 from __future__ import annotations
@@ -26,6 +26,9 @@
 RETRANSMIT_SECONDS = 0.2
 REQUEST_SECONDS = 0.05
 REQUEST_PAUSE_SECONDS = 0.3
+DRAIN_LIMIT_SECONDS = 3.0
+"""Time after the confirmation of an upstream's end after which no SYN may reach it."""
+
 REQUEST = b"request"
 ANSWER = b"answer"
 SERVICE_HOST = 0xC6120001
@@ -97,6 +100,15 @@
         Flows held and flows offered, with the upstream's initial sequence number.
     processed_flows : list of bytes
         Flow of each request answered, in order.
+    bounces_syn_copies : bool
+        Whether a SYN of a flow that it holds or was offered is bounced.
+    started_ms : int
+        Unix time of the boot's start in milliseconds; 0 if it does not tell.
+    is_admission_ended : bool
+        Whether its end was confirmed `DRAIN_LIMIT_SECONDS` ago.
+    is_disturbed : callable
+        Returns whether SYNs after the confirmation are tolerated, since its VM is
+        disturbed.
     """
 
     host: str
@@ -107,6 +119,10 @@
     state: UpstreamState = UpstreamState.READY
     alive: bool = True
     refuses_flows: bool = False
+    bounces_syn_copies: bool = False
+    started_ms: int = 0
+    is_admission_ended: bool = False
+    is_disturbed: Callable[[], bool] = field(default=lambda: False)
     heartbeat_serial: int = 0
     flows: dict[bytes, int] = field(factory=dict)
     offered_flows: dict[bytes, int] = field(factory=dict)
@@ -117,6 +133,13 @@
         self.alive = False
         self.flows.clear()
 
+    def handle_confirmation(self) -> None:
+        """Count SYNs as violations `DRAIN_LIMIT_SECONDS` after a confirmed end."""
+        self.schedule(DRAIN_LIMIT_SECONDS, self._end_admission)
+
+    def _end_admission(self) -> None:
+        self.is_admission_ended = True
+
     def receive(self, data: bytes) -> None:
         """Receive a packet from the agent."""
         check_packet(data)
@@ -124,20 +147,29 @@
         assert packet is not None
         if not self.alive:
             return
-        if packet.flags == SYN and not self.refuses_flows:
+        if packet.flags == SYN and self.is_admission_ended and not self.is_disturbed():
+            raise ViolationError(
+                f"SYN reached the upstream at {self.host} more than "
+                f"{DRAIN_LIMIT_SECONDS} s after its end was confirmed"
+            )
+        if packet.flags == SYN and not self._bounces_syn(packet.flow):
             self._handle_syn(packet.flow)
             return
-        if packet.flow in self.offered_flows:
+        if packet.flags != SYN and packet.flow in self.offered_flows:
             expected = self.offered_flows.pop(packet.flow)
             if packet.ack == expected + 1:
                 self.flows[packet.flow] = expected
-        if packet.flow not in self.flows:
+        if packet.flags == SYN or packet.flow not in self.flows:
             self.send(bytes([data[0] | FLAG_BITS[BOUNCED]]) + data[1:])
         elif packet.length:
             self.schedule(
                 REQUEST_SECONDS, lambda: self._send_answer(packet.flow, packet.ack)
             )
 
+    def _bounces_syn(self, flow: bytes) -> bool:
+        known = flow in self.flows or flow in self.offered_flows
+        return self.refuses_flows or (known and self.bounces_syn_copies)
+
     def _handle_syn(self, flow: bytes) -> None:
         _caller, service = decode_endpoints(flow)
         if service[1] != self.port:
--- a/shedsill/tests/test_datagram_heartbeats.py
+++ b/shedsill/tests/test_datagram_heartbeats.py
@@ -6,6 +6,7 @@
 import json
 
 import pytest
+from attrs import evolve
 from msgspec.structs import replace
 
 from shedsill._addresses import Address
@@ -31,6 +32,7 @@
 )
 from shedsill.platform.heartbeats import InstanceCalls
 from shedsill.testing.agents import make_agent_state
+from shedsill.testing.datagram_simulation import Simulation
 from shedsill.testing.flow_endpoints import CODEC, make_packet
 from shedsill.testing.node_settings import NODE_PORT_COUNT, make_node_settings
 from shedsill.testing.ports import get_free_ports
@@ -301,3 +303,22 @@
     left = handle_leave(agent, UpstreamLeaving(boot="i-9", now=1.3))
     assert [effect.event for effect in stale] == [LogEvent.HEARTBEAT_STALE]
     assert [effect.event for effect in left] == [LogEvent.LEAVE_IGNORED]
+
+
+def test_late_first_heartbeat_of_unknown_boot_ends_no_flow_of_living_one() -> None:
+    """All flows were reset, and the living boot's heartbeats ignored from then on."""
+    simulation = Simulation(services=("dispatcher",))
+    simulation.add_agent("10.1.0.1", "dispatcher", knows_all_flows=True)
+    simulation.add_balancer("10.0.0.1")
+    simulation.run(3.0)
+    caller = simulation.add_caller("dispatcher", "10.0.0.1", requests=16)
+    simulation.run(1.0)
+    living = simulation.upstreams["10.1.0.1"]
+    unheard = evolve(living, boot="i-unheard", heartbeat_serial=0)
+    simulation.send_heartbeat_of(
+        unheard, serial=FIRST_SERIAL, state=UpstreamState.READY
+    )
+    simulation.run(BOOT_SILENCE_SECONDS + 2.0)
+    assert simulation.nodes["10.1.0.1"].report.boot == living.boot
+    simulation.run(5.0)
+    assert caller.outcome == "answered"
