--- a/properties/soak.py
+++ b/properties/soak.py
@@ -135,7 +135,8 @@
             await self.injector.ensure_running(host)
         for host, upstream in list(self.deployment.upstreams.items()):
             upstream.state = UpstreamState.READY
-            if not upstream.alive:
+            if not upstream.alive or upstream.is_end_confirmed:
+                upstream.crash()
                 await self.deployment.start_upstream(host, self.injector.agents[host])
         await asyncio.sleep(RECOVERY_SECONDS)
         callers = [
--- a/properties/soak_faults.py
+++ b/properties/soak_faults.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import signal
 from collections.abc import Awaitable, Callable
 
+import aiohttp
 from attrs import define, field
 
 from shedsill.datagram._messages import UpstreamState
@@ -119,10 +121,18 @@
     async def drain_upstream(
         self, host: str, duration: float, generator: random.Random
     ) -> None:
+        """Drain an upstream, end it as it announced, and start the next boot."""
         host = generator.choice(list(self.agents))
-        self.deployment.upstreams[host].state = UpstreamState.DRAINING
+        upstream = self.deployment.upstreams[host]
+        upstream.state = UpstreamState.DRAINING
         await asyncio.sleep(duration)
-        self.deployment.upstreams[host].state = UpstreamState.READY
+        if upstream is not self.deployment.upstreams[host] or not upstream.alive:
+            return
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
+            await self.deployment.announce_end(host)
+        upstream.crash()
+        if upstream is self.deployment.upstreams[host]:
+            await self.deployment.start_upstream(host, self.agents[host])
 
     async def flap_upstream(
         self, host: str, duration: float, generator: random.Random
--- a/properties/test_datagram_world.py
+++ b/properties/test_datagram_world.py
@@ -176,6 +176,8 @@
         """After recovery, new requests are answered and no flow state is left."""
         self.toggle_store(True)
         for host in AGENTS:
+            if self.simulation.upstreams[host].is_end_confirmed:
+                self.restart_upstream(host)
             self.change_upstream_state(host, UpstreamState.READY)
         self.simulation.run(5.0)
         callers = [
--- a/shedsill/datagram/_agent_packets.py
+++ b/shedsill/datagram/_agent_packets.py
@@ -11,6 +11,7 @@
     Phase,
     build_load,
     can_accept_flows,
+    get_serving_state,
     record_sent_packet,
     return_packet,
     update_upstream_state,
@@ -127,7 +128,7 @@
     state.unanswered_since = None
     effects: list[Effect] = []
     if state.report.state == UpstreamState.UNRESPONSIVE:
-        effects += update_upstream_state(state, UpstreamState.READY, now)
+        effects += update_upstream_state(state, get_serving_state(state), now)
     if packet.flags & BOUNCED:
         return effects + _handle_bounced_packet(state, packet, now)
     flow = state.flows.get(packet.flow)
--- a/shedsill/datagram/_agent_state.py
+++ b/shedsill/datagram/_agent_state.py
@@ -115,6 +115,8 @@
         How often that announcement was repeated.
     ended_boots : set of str
         Boots of the upstream that have ended.
+    draining_boots : set of str
+        Boots that have announced their end; it is final for a boot.
     heartbeat_serial : int
         Serial of the current boot's last heartbeat.
     last_heartbeat_at : float
@@ -150,6 +152,7 @@
     first_announced_at: float | None = None
     announcement_repeats: int = 0
     ended_boots: set[str] = field(default_factory=set)
+    draining_boots: set[str] = field(default_factory=set)
     heartbeat_serial: int = 0
     last_heartbeat_at: float = 0.0
     heartbeat_silence_started_at: float = 0.0
@@ -184,6 +187,12 @@
     return known and state.stop_at is None
 
 
+def get_serving_state(state: AgentState) -> UpstreamState:
+    """Return the state of an upstream that is known to be alive."""
+    is_draining = state.report.boot in state.draining_boots
+    return UpstreamState.DRAINING if is_draining else UpstreamState.READY
+
+
 def build_load(state: AgentState, now: float) -> Load:
     """Return the upstream's current load."""
     update_average_busy(state, now)
--- a/shedsill/datagram/_upstream.py
+++ b/shedsill/datagram/_upstream.py
@@ -13,6 +13,7 @@
     AgentFlow,
     AgentState,
     Phase,
+    get_serving_state,
     publish_report,
     update_upstream_state,
 )
@@ -48,7 +49,11 @@
 
 
 def handle_heartbeat(state: AgentState, event: HeartbeatReceived) -> list[Effect]:
-    """Update the upstream's report by its heartbeat."""
+    """Update the upstream's report by its heartbeat.
+
+    A boot never takes new flows again once it has announced its end: a heartbeat that
+    says otherwise was prepared before, whatever its serial.
+    """
     heartbeat, now = event.heartbeat, event.now
     report = state.report
     if heartbeat.boot in state.ended_boots or _is_outdated(state, heartbeat, now):
@@ -57,11 +62,14 @@
     if heartbeat.boot != report.boot:
         effects += _change_boot(state, heartbeat, now)
     elif heartbeat.serial <= state.heartbeat_serial:
-        return [_log_stale(state, heartbeat)]
+        return [_log_stale(state, heartbeat), *_record_drain(state, heartbeat, now)]
+    if heartbeat.state == UpstreamState.DRAINING:
+        state.draining_boots.add(heartbeat.boot)
     state.heartbeat_serial = heartbeat.serial
     state.last_heartbeat_at = state.heartbeat_silence_started_at = now
     state.cold_until = now + heartbeat.cold
-    changed = (heartbeat.boot, heartbeat.state, heartbeat.slots) != (
+    upstream_state = get_serving_state(state)
+    changed = (heartbeat.boot, upstream_state, heartbeat.slots) != (
         report.boot,
         report.state,
         report.load.slots,
@@ -70,7 +78,7 @@
         return effects
     state.report = replace(
         state.report,
-        state=heartbeat.state,
+        state=upstream_state,
         load=replace(state.report.load, slots=heartbeat.slots),
     )
     effects += publish_report(state, now)
@@ -79,13 +87,25 @@
     return [*effects, WriteLog(event=LogEvent.HEARTBEAT_TAKEN, fields=fields)]
 
 
+def _record_drain(state: AgentState, heartbeat: Heartbeat, now: float) -> list[Effect]:
+    """Begin the drain that a late heartbeat of the current boot announces."""
+    if heartbeat.state != UpstreamState.DRAINING:
+        return []
+    state.draining_boots.add(heartbeat.boot)
+    return update_upstream_state(state, UpstreamState.DRAINING, now)
+
+
 def is_confirmed(state: AgentState, call: Heartbeat | UpstreamLeaving) -> bool:
-    """Whether a call that was handled is answered with success."""
+    """Whether what a call says is in force, so that it is answered with success."""
+    report = state.report
     match call:
-        case Heartbeat(boot=boot):
-            return boot == state.report.boot
+        case Heartbeat(state=UpstreamState.DRAINING):
+            not_accepting = report.state in (UpstreamState.DRAINING, UpstreamState.GONE)
+            return call.boot == report.boot and not_accepting
+        case Heartbeat():
+            return call.boot == report.boot and report.state == UpstreamState.READY
         case UpstreamLeaving():
-            return True
+            return call.boot in state.ended_boots
 
 
 def _is_outdated(state: AgentState, heartbeat: Heartbeat, now: float) -> bool:
@@ -264,6 +284,8 @@
 
 def handle_leave(state: AgentState, event: UpstreamLeaving) -> list[Effect]:
     """Mark the upstream as gone, since it has announced the end of its boot."""
+    if state.report.boot == "" and event.boot == state.earlier_boot:
+        state.report = replace(state.report, boot=event.boot)
     if event.boot != state.report.boot:
         fields = {
             "boot": event.boot,
@@ -271,6 +293,7 @@
             "state": state.report.state.value,
         }
         return [WriteLog(event=LogEvent.LEAVE_IGNORED, fields=fields)]
+    state.ended_boots.add(event.boot)
     state.upstream_leaving = True
     state.last_check_at = event.now
     return [
@@ -298,7 +321,7 @@
     if event.open:
         state.unanswered_since = None
         if state.report.state == UpstreamState.UNRESPONSIVE:
-            return update_upstream_state(state, UpstreamState.READY, now)
+            return update_upstream_state(state, get_serving_state(state), now)
         return []
     if state.unanswered_since is None and not state.upstream_leaving:
         return []
--- a/shedsill/testing/deployment.py
+++ b/shedsill/testing/deployment.py
@@ -361,6 +361,7 @@
             boot=f"i-{self._boot_count}",
             send=send,
             schedule=self._schedule,
+            is_disturbed=lambda: self._is_disturbed(host),
         )
         return self.upstreams[host]
 
@@ -407,6 +408,19 @@
         address = f"{upstream.host}:{self.ports['control']}"
         url = f"http://{address}/-/instances/{upstream.boot}"
         async with self._http.put(url, json=body) as response:
+            if response.status == 200 and state == UpstreamState.DRAINING:
+                upstream.handle_confirmation()
+            return response.status
+
+    async def announce_end(self, host: str) -> int:
+        """Have an upstream announce that it ends; return the HTTP status."""
+        assert self._http is not None
+        upstream = self.upstreams[host]
+        address = f"{host}:{self.ports['control']}"
+        url = f"http://{address}/-/instances/{upstream.boot}"
+        async with self._http.delete(url) as response:
+            if response.status == 200:
+                upstream.handle_confirmation()
             return response.status
 
     async def wait_for_control(self, host: str) -> None:
@@ -452,14 +466,18 @@
         until = asyncio.get_running_loop().time() + seconds + FAULT_RECOVERY_SECONDS
         self.disturbed_until[host] = max(self.disturbed_until.get(host, 0.0), until)
 
+    def _is_disturbed(self, host: str) -> bool:
+        """Return whether a VM has a fault or recovers from one."""
+        now = asyncio.get_running_loop().time()
+        return now < self.disturbed_until.get(host, 0.0)
+
     def _is_flow_held(self, flow: bytes) -> bool:
         """Return whether a flow is held, and neither of its VMs is disturbed."""
-        now = asyncio.get_running_loop().time()
         return any(
             upstream.alive
             and flow in upstream.flows
-            and now >= self.disturbed_until.get(host, 0.0)
-            and now >= self.disturbed_until.get(self.balancer_by_flow[flow], 0.0)
+            and not self._is_disturbed(host)
+            and not self._is_disturbed(self.balancer_by_flow[flow])
             for host, upstream in self.upstreams.items()
         )
 
--- a/shedsill/testing/flow_endpoints.py
+++ b/shedsill/testing/flow_endpoints.py
@@ -104,6 +104,8 @@
         Whether a SYN of a flow that it holds or was offered is bounced.
     started_ms : int
         Unix time of the boot's start in milliseconds; 0 if it does not tell.
+    is_end_confirmed : bool
+        Whether its end was confirmed.
     is_admission_ended : bool
         Whether its end was confirmed `DRAIN_LIMIT_SECONDS` ago.
     is_disturbed : callable
@@ -121,6 +123,7 @@
     refuses_flows: bool = False
     bounces_syn_copies: bool = False
     started_ms: int = 0
+    is_end_confirmed: bool = False
     is_admission_ended: bool = False
     is_disturbed: Callable[[], bool] = field(default=lambda: False)
     heartbeat_serial: int = 0
@@ -135,6 +138,7 @@
 
     def handle_confirmation(self) -> None:
         """Count SYNs as violations `DRAIN_LIMIT_SECONDS` after a confirmed end."""
+        self.is_end_confirmed = True
         self.schedule(DRAIN_LIMIT_SECONDS, self._end_admission)
 
     def _end_admission(self) -> None:
--- a/shedsill/tests/test_datagram_drain.py
+++ b/shedsill/tests/test_datagram_drain.py
@@ -3,7 +3,11 @@
 from __future__ import annotations
 
 import pytest
+from attrs import evolve
+from msgspec.structs import replace
 
+from shedsill.datagram._events import UpstreamChecked, UpstreamLeaving
+from shedsill.datagram._messages import UpstreamState
 from shedsill.testing.datagram_simulation import Simulation
 from shedsill.testing.flow_endpoints import DRAIN_LIMIT_SECONDS
 
@@ -12,6 +16,8 @@
 AGENT, OTHER_AGENT = "10.1.0.1", "10.1.0.2"
 LONG_LIFE_SECONDS = 12.0
 """Time in which an upstream sends ten heartbeats."""
+LAST_SERIAL = -1_000_000
+"""Last serial of an upstream whose heartbeats the agent ignores from now on."""
 
 
 @pytest.fixture
@@ -41,3 +47,44 @@
     assert simulation.drain_upstream(AGENT)
     open_flows_after_limit(simulation)
     assert len(simulation.upstreams[OTHER_AGENT].processed_flows) == 8
+
+
+@pytest.mark.parametrize("ended", [False, True])
+def test_heartbeat_prepared_before_the_end_does_not_revoke_it(
+    simulation: Simulation, ended: bool
+) -> None:
+    """A thread may number its heartbeat after the one that announced the end."""
+    upstream = simulation.upstreams[AGENT]
+    assert simulation.drain_upstream(AGENT)
+    assert not ended or simulation.announce_end(AGENT)
+    serial = upstream.heartbeat_serial + 1
+    assert not simulation.send_heartbeat_of(
+        upstream, serial=serial, state=UpstreamState.READY
+    )
+    upstream.heartbeat_serial = LAST_SERIAL  # its later heartbeats are not accepted
+    open_flows_after_limit(simulation)
+    assert not upstream.processed_flows
+
+
+def test_drain_announced_while_upstream_is_unresponsive_stays_in_force(
+    simulation: Simulation,
+) -> None:
+    """An answer of the upstream must not make it ready again."""
+    upstream = simulation.upstreams[AGENT]
+    assert simulation.drain_upstream(AGENT)
+    state = simulation.nodes[AGENT]
+    state.report = replace(state.report, state=UpstreamState.UNRESPONSIVE)
+    event = UpstreamChecked(open=True, refused=False, now=simulation.now)
+    simulation._dispatch(AGENT, event)
+    assert state.report.state == UpstreamState.DRAINING
+    upstream.heartbeat_serial = LAST_SERIAL
+    open_flows_after_limit(simulation)
+
+
+def test_end_of_unknown_boot_is_not_confirmed(simulation: Simulation) -> None:
+    """The upstream that is in use takes new flows, whoever has announced an end."""
+    stranger = evolve(simulation.upstreams[AGENT], boot="i-stranger")
+    event = UpstreamLeaving(boot=stranger.boot, now=simulation.now)
+    simulation._dispatch(AGENT, event)
+    assert not simulation._is_confirmed(AGENT, event)
+    assert simulation.nodes[AGENT].report.state == UpstreamState.READY
