--- a/shedsill/datagram/_agent_packets.py
+++ b/shedsill/datagram/_agent_packets.py
@@ -86,9 +86,21 @@
 def _handle_syn(
     state: AgentState, packet: Packet, balancer: str, now: float
 ) -> list[Effect]:
-    if not can_accept_flows(state) or now < state.refused_until:
-        return return_packet(state, packet, balancer, ReturnReason.NOT_TAKING, now)
     flow = state.flows.get(packet.flow)
+    if flow is not None and flow.closed and not _is_syn_copy(flow, packet):
+        # The caller uses the port of an ended flow again.
+        effects = _slots.drop_request(state, packet.flow, now)
+        del state.flows[packet.flow]
+        return effects + _handle_syn(state, packet, balancer, now)
+    accepting = can_accept_flows(state)
+    if (
+        flow is not None
+        and _is_syn_copy(flow, packet)
+        and (flow.phase == Phase.OPEN or (accepting and _is_answered(flow)))
+    ):
+        return _handle_copy_of_answered_syn(state, flow, packet, balancer, now)
+    if not accepting or now < state.refused_until:
+        return return_packet(state, packet, balancer, ReturnReason.NOT_TAKING, now)
     if flow is None:
         if len(state.flows) >= MAX_FLOWS:
             return return_packet(state, packet, balancer, ReturnReason.NOT_TAKING, now)
@@ -98,6 +110,7 @@
             phase=Phase.HALF_OPEN,
             last_packet_at=now,
             balancer=balancer,
+            syn_seq=packet.seq,
             syn_copy_delay=get_syn_copy_delay(packet),
         )
         state.flows[packet.flow] = flow
@@ -109,6 +122,46 @@
     return [SendToUpstream(packet, balancer)]
 
 
+def _is_syn_copy(flow: AgentFlow, syn: Packet) -> bool:
+    """Whether a SYN may be a copy of the one that a flow began with."""
+    return flow.syn_seq in (None, syn.seq)
+
+
+def _is_answered(flow: AgentFlow) -> bool:
+    """Whether the upstream has answered the flow's SYN, or holds the flow."""
+    return flow.initial_seq is not None or flow.phase == Phase.OPEN
+
+
+def _handle_copy_of_answered_syn(
+    state: AgentState, flow: AgentFlow, packet: Packet, balancer: str, now: float
+) -> list[Effect]:
+    """Tell the balancer of a SYN's copy who has answered the SYN.
+
+    Otherwise it would offer the flow to other upstreams.  The copy goes on to the
+    upstream only while the caller may have missed the answer.
+    """
+    effects: list[Effect] = []
+    if flow.initial_seq is not None:
+        effects.append(_report_taken_flow(state, packet.flow, flow, balancer, now))
+    may_need_answer = flow.phase == Phase.HALF_OPEN or flow.initial_seq is None
+    if may_need_answer and can_accept_flows(state):
+        effects.append(SendToUpstream(packet, balancer))
+    return effects
+
+
+def _report_taken_flow(
+    state: AgentState, key: bytes, flow: AgentFlow, balancer: str, now: float
+) -> Effect:
+    assert flow.initial_seq is not None
+    taken = FlowTaken(
+        flow=key,
+        boot=state.report.boot,
+        initial_seq=flow.initial_seq,
+        load=build_load(state, now),
+    )
+    return SendMessage(balancer, taken)
+
+
 def _handle_unknown_flow(
     state: AgentState, packet: Packet, balancer: str, now: float
 ) -> list[Effect]:
@@ -143,24 +196,23 @@
 def _handle_syn_ack(
     state: AgentState, flow: AgentFlow | None, packet: Packet, now: float
 ) -> list[Effect]:
-    if flow is None or flow.phase == Phase.OPEN:
+    if flow is None:
+        # The answer to a copy of a SYN that was bounced before, or that a previous
+        # incarnation of this agent passed on.
+        if len(state.flows) >= MAX_FLOWS:
+            return []
+        flow = AgentFlow(phase=Phase.HALF_OPEN, last_packet_at=now, balancer="")
+        state.flows[packet.flow] = flow
+    if flow.phase == Phase.OPEN or flow.initial_seq == packet.seq:
         return []
-    repeated = flow.initial_seq == packet.seq
     flow.initial_seq = packet.seq
-    if repeated:
-        return []
     flow.taken_at = now
-    taken = FlowTaken(
-        flow=packet.flow,
-        boot=state.report.boot,
-        initial_seq=packet.seq,
-        load=build_load(state, now),
-    )
     fields = {"flow": packet.flow, "balancer": flow.balancer, "busy": state.busy}
-    return [
-        SendMessage(flow.balancer, taken),
-        WriteLog(event=LogEvent.FLOW_TAKEN, fields=fields),
-    ]
+    log_entry = WriteLog(event=LogEvent.FLOW_TAKEN, fields=fields)
+    if not flow.balancer:
+        return [log_entry]
+    balancer = flow.balancer
+    return [_report_taken_flow(state, packet.flow, flow, balancer, now), log_entry]
 
 
 def _handle_established_packet(
@@ -220,9 +272,12 @@
     """Return a packet that the upstream bounced because it holds no such flow.
 
     If the upstream held the flow before, no other one can hold it: the flow is reset.
+    A bounced SYN says nothing about a flow whose SYN the upstream has answered.
     """
-    state.trial_flows.pop(packet.flow, None)
     flow = state.flows.get(packet.flow)
+    if is_syn(packet) and flow is not None and _is_answered(flow):
+        return _handle_bounced_copy(state, flow, packet, now)
+    state.trial_flows.pop(packet.flow, None)
     effects = _slots.drop_request(state, packet.flow, now)
     bounced_syn = is_syn(packet)
     if flow is not None and not bounced_syn and _was_open(flow):
@@ -238,3 +293,16 @@
         effects += return_packet(state, packet, balancer, reason, now)
     state.flows.pop(packet.flow, None)
     return effects
+
+
+def _handle_bounced_copy(
+    state: AgentState, flow: AgentFlow, packet: Packet, now: float
+) -> list[Effect]:
+    """Return a bounced SYN whose addresses are those of a flow that is held.
+
+    A copy of the flow's own SYN is not returned: its balancer knows who has answered.
+    """
+    if _is_syn_copy(flow, packet) or not packet.balancer:
+        return []
+    reason = ReturnReason.REFUSED
+    return return_packet(state, packet, packet.balancer, reason, now)
--- a/shedsill/datagram/_agent_state.py
+++ b/shedsill/datagram/_agent_state.py
@@ -46,6 +46,8 @@
 
     Attributes
     ----------
+    syn_seq : int or None
+        The caller's initial sequence number; None if its SYN is not known.
     initial_seq : int or None
         The upstream's initial sequence number; None until it has answered.
     taken_at : float or None
@@ -73,6 +75,7 @@
     phase: Phase
     last_packet_at: float
     balancer: str
+    syn_seq: int | None = None
     initial_seq: int | None = None
     taken_at: float | None = None
     caller_ack: int = 0
--- a/shedsill/tests/test_datagram_drain.py
+++ b/shedsill/tests/test_datagram_drain.py
@@ -16,8 +16,6 @@
 AGENT, OTHER_AGENT = "10.1.0.1", "10.1.0.2"
 LONG_LIFE_SECONDS = 12.0
 """Time in which an upstream sends ten heartbeats."""
-LAST_SERIAL = -1_000_000
-"""Last serial of an upstream whose heartbeats the agent ignores from now on."""
 
 
 @pytest.fixture
@@ -53,15 +51,12 @@
 def test_heartbeat_prepared_before_the_end_does_not_revoke_it(
     simulation: Simulation, ended: bool
 ) -> None:
-    """A thread may number its heartbeat after the one that announced the end."""
+    """A thread may number its heartbeats after the one that announced the end."""
     upstream = simulation.upstreams[AGENT]
     assert simulation.drain_upstream(AGENT)
     assert not ended or simulation.announce_end(AGENT)
-    serial = upstream.heartbeat_serial + 1
-    assert not simulation.send_heartbeat_of(
-        upstream, serial=serial, state=UpstreamState.READY
-    )
-    upstream.heartbeat_serial = LAST_SERIAL  # its later heartbeats are not accepted
+    upstream.state = UpstreamState.READY
+    assert not simulation.send_heartbeat(AGENT)
     open_flows_after_limit(simulation)
     assert not upstream.processed_flows
 
@@ -77,7 +72,7 @@
     event = UpstreamChecked(open=True, refused=False, now=simulation.now)
     simulation._dispatch(AGENT, event)
     assert state.report.state == UpstreamState.DRAINING
-    upstream.heartbeat_serial = LAST_SERIAL
+    upstream.state = UpstreamState.READY
     open_flows_after_limit(simulation)
 
 
--- a/shedsill/tests/test_datagram_syn_copies.py
+++ b/shedsill/tests/test_datagram_syn_copies.py
@@ -3,14 +3,26 @@
 from __future__ import annotations
 
 import pytest
+from msgspec.structs import replace
 
-from shedsill.datagram._packet import SYN
+from shedsill.datagram._agent_packets import (
+    handle_forwarded_packet,
+    handle_upstream_packet,
+)
+from shedsill.datagram._agent_state import AgentState, Phase
+from shedsill.datagram._effects import Effect, SendMessage
+from shedsill.datagram._events import ForwardedPacket, UpstreamPacket
+from shedsill.datagram._messages import FlowTaken, PacketReturned
+from shedsill.datagram._packet import ACK, BOUNCED, SYN, Packet
+from shedsill.datagram._selection import hash_service
+from shedsill.testing.agents import make_agent_state
 from shedsill.testing.datagram_simulation import Simulation
-from shedsill.testing.flow_endpoints import FLAG_BITS, Caller
+from shedsill.testing.flow_endpoints import CODEC, FLAG_BITS, Caller, make_packet
 
 SERVICE = "dispatcher"
 BALANCER, OTHER_BALANCER = "10.0.0.1", "10.0.0.2"
 AGENT = "10.1.0.1"
+CALLER, SERVICE_ENDPOINT = (0x64400007, 40_001), (0xC6120001, 443)
 
 
 @pytest.fixture
@@ -43,3 +55,87 @@
     send_syn_copy(simulation, caller, balancer)
     simulation.run(3.0)
     assert caller.outcome == "answered"
+
+
+@pytest.fixture
+def agent() -> AgentState:
+    """An agent that has passed a SYN to its upstream."""
+    state = make_agent_state(slots=2)
+    handle_syn(state, seq=7)
+    return state
+
+
+def make_syn(seq: int, copy: int = 0, flag_bits: int = FLAG_BITS[SYN]) -> Packet:
+    packet = CODEC.decode_caller(
+        make_packet(CALLER, SERVICE_ENDPOINT, flag_bits, seq=seq, ack=copy)
+    )
+    assert packet is not None
+    return packet
+
+
+def handle_syn(state: AgentState, seq: int, copy: int = 0) -> list[Effect]:
+    return handle_forwarded_packet(
+        state,
+        ForwardedPacket(
+            packet=make_syn(seq, copy),
+            service=hash_service(SERVICE),
+            balancer=OTHER_BALANCER if copy else BALANCER,
+            now=1.0,
+        ),
+    )
+
+
+def answer_syn(state: AgentState, seq: int) -> list[Effect]:
+    data = make_packet(
+        SERVICE_ENDPOINT, CALLER, FLAG_BITS[SYN] | FLAG_BITS[ACK], seq=seq
+    )
+    packet = CODEC.decode_upstream(data)
+    assert packet is not None
+    return handle_upstream_packet(state, UpstreamPacket(packet=packet, now=1.0))
+
+
+def bounce_syn(state: AgentState, seq: int) -> list[Effect]:
+    packet = replace(make_syn(seq), balancer=OTHER_BALANCER)
+    packet.flags |= BOUNCED
+    return handle_upstream_packet(state, UpstreamPacket(packet=packet, now=1.0))
+
+
+def list_messages(effects: list[Effect], kind: type) -> list[str]:
+    """Return the hosts that messages of a class are sent to."""
+    sent = [effect for effect in effects if isinstance(effect, SendMessage)]
+    return [effect.host for effect in sent if isinstance(effect.message, kind)]
+
+
+def test_balancer_of_a_copy_is_told_who_has_answered(agent: AgentState) -> None:
+    """It would offer the flow to other upstreams, and send packets to those."""
+    answer_syn(agent, seq=100)
+    assert list_messages(handle_syn(agent, 7, copy=1), FlowTaken) == [OTHER_BALANCER]
+    bounced = bounce_syn(agent, 7)
+    assert not list_messages(bounced, PacketReturned)
+    assert agent.flows[make_syn(7).flow].initial_seq == 100
+
+
+def test_copy_is_answered_after_the_first_syn_was_bounced(agent: AgentState) -> None:
+    """The agent had forgotten the flow, and denied it once the caller had opened it."""
+    handle_syn(agent, 7, copy=1)
+    assert list_messages(bounce_syn(agent, 7), PacketReturned) == [OTHER_BALANCER]
+    answer_syn(agent, seq=100)
+    assert agent.flows[make_syn(7).flow].initial_seq == 100
+
+
+def test_port_of_an_ended_flow_is_used_again(agent: AgentState) -> None:
+    """The state of the ended flow must not be that of the new one."""
+    answer_syn(agent, seq=100)
+    flow = agent.flows[make_syn(7).flow]
+    flow.phase, flow.closed = Phase.OPEN, True
+    handle_syn(agent, seq=9)
+    assert list_messages(answer_syn(agent, seq=200), FlowTaken) == [BALANCER]
+    assert agent.flows[make_syn(9).flow].phase == Phase.HALF_OPEN
+
+
+def test_bounced_syn_of_another_flow_is_returned(agent: AgentState) -> None:
+    """A caller that uses the port of an open flow again must not wait in vain."""
+    answer_syn(agent, seq=100)
+    agent.flows[make_syn(7).flow].phase = Phase.OPEN
+    assert list_messages(bounce_syn(agent, 9), PacketReturned) == [OTHER_BALANCER]
+    assert agent.flows[make_syn(7).flow].initial_seq == 100
