--- a/shedsill/datagram/_agent.py
+++ b/shedsill/datagram/_agent.py
@@ -31,7 +31,7 @@
     UpstreamState,
 )
 from shedsill.datagram._process_pauses import measure_pause
-from shedsill.datagram._upstream import needs_check
+from shedsill.datagram._upstream import needs_check, send_probes
 
 CLOSED_FLOW_SECONDS = 3.0
 """A closed flow is kept this long for retransmitted packets."""
@@ -55,6 +55,7 @@
     is alive.  A VM without an upstream is never announced.
     """
     state.started_at = state.average_updated_at = state.last_tick_at = now
+    state.heartbeat_silence_started_at = now
 
 
 def handle_message(state: AgentState, event: MessageReceived) -> list[Effect]:
@@ -105,6 +106,7 @@
     if now >= state.next_sweep_at:
         state.next_sweep_at = now + SWEEP_INTERVAL_SECONDS
         effects += _remove_idle_flows(state, now)
+        effects += send_probes(state)
     effects += _slots.expire_requests(state, now)
     effects += repeat_announcement(state, now)
     if needs_check(state, now):
--- a/shedsill/datagram/_agent_packets.py
+++ b/shedsill/datagram/_agent_packets.py
@@ -12,6 +12,7 @@
     build_load,
     can_accept_flows,
     get_serving_state,
+    record_probe_packet,
     record_sent_packet,
     return_packet,
     update_upstream_state,
@@ -80,6 +81,7 @@
         return [SendToUpstream(packet, event.balancer), *dropped]
     if packet.length:
         return _slots.handle_request_packet(state, flow, packet, now)
+    record_probe_packet(flow, packet)
     return [SendToUpstream(packet, event.balancer)]
 
 
@@ -230,6 +232,7 @@
         flow.caller_next_seq = packet.ack
         effects += _report_recovered_flow(state, packet.flow, now)
     flow.phase = Phase.OPEN
+    flow.probes_left = 0
     flow.last_packet_at = now
     # An upstream often closes a flow together with its last answer, and the FIN may
     # overtake the content.  A FIN that follows the caller's own one is no answer.
--- a/shedsill/datagram/_agent_state.py
+++ b/shedsill/datagram/_agent_state.py
@@ -61,8 +61,11 @@
         Whether a request has arrived whose answer has not begun.
     running : bool
         Whether that request was sent to the upstream.
-    last_request_packet : Packet or None
-        The last packet of the running request.
+    probe_packet : Packet or None
+        Smallest packet of the open flow that was sent to the upstream; sent again to
+        find out whether the upstream still holds the flow.
+    probes_left : int
+        How often that is to be repeated while the upstream sends no packet.
     closed : bool
         Whether one end has closed the flow.
     syn_copy_delay : float
@@ -82,10 +85,11 @@
     caller_next_seq: int | None = None
     pending: bool = False
     running: bool = False
-    last_request_packet: Packet | None = None
     request_received_at: float = 0.0
     request_sent_at: float = 0.0
     syn_copy_delay: float = 0.0
+    probe_packet: Packet | None = None
+    probes_left: int = 0
     closed: bool = False
 
 
@@ -117,7 +121,10 @@
     announcement_repeats : int
         How often that announcement was repeated.
     ended_boots : set of str
-        Boots of the upstream that have ended.
+        Boots of the upstream that have certainly ended.
+    superseded_boots : dict of str to int
+        Boots after which the upstream sent heartbeats of another one, with the serial
+        of their last heartbeat, or 0 if unknown.
     draining_boots : set of str
         Boots that have announced their end; it is final for a boot.
     heartbeat_serial : int
@@ -155,6 +162,7 @@
     first_announced_at: float | None = None
     announcement_repeats: int = 0
     ended_boots: set[str] = field(default_factory=set)
+    superseded_boots: dict[str, int] = field(default_factory=dict)
     draining_boots: set[str] = field(default_factory=set)
     heartbeat_serial: int = 0
     last_heartbeat_at: float = 0.0
@@ -228,6 +236,13 @@
         state.unanswered_since = now
 
 
+def record_probe_packet(flow: AgentFlow, packet: Packet) -> None:
+    """Keep a packet that was sent to the upstream if it is the flow's smallest one."""
+    known = flow.probe_packet
+    if known is None or len(packet.data) < len(known.data):
+        flow.probe_packet = packet
+
+
 def return_packet(
     state: AgentState,
     packet: Packet,
--- a/shedsill/datagram/_slots.py
+++ b/shedsill/datagram/_slots.py
@@ -21,6 +21,7 @@
     AgentFlow,
     AgentState,
     announce_report,
+    record_probe_packet,
     record_sent_packet,
     update_busy,
 )
@@ -91,7 +92,7 @@
 
 
 def _record_sent_content(flow: AgentFlow, packet: Packet) -> None:
-    flow.last_request_packet = packet
+    record_probe_packet(flow, packet)
     if _has_new_content(flow, packet):
         flow.caller_next_seq = (packet.seq + packet.length) % SEQUENCE_SPACE
 
@@ -148,7 +149,6 @@
     if not flow.pending or (answered and not flow.running):
         return []
     flow.pending = False
-    flow.last_request_packet = None
     update_busy(state, -1, now)
     effects: list[Effect] = []
     if answered:
--- a/shedsill/datagram/_upstream.py
+++ b/shedsill/datagram/_upstream.py
@@ -40,6 +40,10 @@
 """Time without a heartbeat of the current boot after which a later heartbeat of another
 boot is accepted: two and a half heartbeat intervals of 1.2 s."""
 
+MAX_PROBES = 3
+"""Packets sent to find out whether the upstream holds a flow; it ignores them if it
+does, and one may be lost."""
+
 UNANSWERED_LIMIT_SECONDS = 0.4
 """Time without any answer of the upstream after which its port is checked; callers
 retransmit after 0.2 s, so that two packets are unanswered by then."""
@@ -105,20 +109,27 @@
         case Heartbeat():
             return call.boot == report.boot and report.state == UpstreamState.READY
         case UpstreamLeaving():
-            return call.boot in state.ended_boots
+            return call.boot in state.ended_boots or call.boot in state.superseded_boots
 
 
 def _is_outdated(state: AgentState, heartbeat: Heartbeat, now: float) -> bool:
     """Whether a heartbeat may be a delayed one of a boot that has ended.
 
     A new boot is accepted with its first heartbeat.  A later heartbeat of another boot,
-    while the current one is alive, must be of an earlier boot.
+    while the current one is alive, must be of an earlier boot.  A superseded boot is
+    accepted again if it sends new heartbeats while the current one is silent.
     """
     report = state.report
-    if report.boot in ("", heartbeat.boot) or heartbeat.serial == FIRST_SERIAL:
+    if report.boot == heartbeat.boot:
+        return False
+    silence = now - state.heartbeat_silence_started_at
+    last_serial = state.superseded_boots.get(heartbeat.boot)
+    if last_serial is not None:
+        return heartbeat.serial <= last_serial or silence < BOOT_SILENCE_SECONDS
+    if report.boot == "" or heartbeat.serial == FIRST_SERIAL:
         return False
     alive = report.state in (UpstreamState.READY, UpstreamState.DRAINING)
-    return alive and now - state.heartbeat_silence_started_at < BOOT_SILENCE_SECONDS
+    return alive and silence < BOOT_SILENCE_SECONDS
 
 
 def _log_outdated(state: AgentState, heartbeat: Heartbeat) -> WriteLog:
@@ -142,13 +153,13 @@
 
 
 def _change_boot(state: AgentState, heartbeat: Heartbeat, now: float) -> list[Effect]:
-    """Switch to a new boot of the upstream and reset the flows of the previous one.
+    """Switch to a new boot of the upstream and verify the flows of the previous one.
 
     A boot whose first heartbeat is received began after the agent's start, so that all
     of its flows are known.
     """
     previous = state.report.boot
-    alive_at = state.last_heartbeat_at
+    alive_at, last_serial = state.last_heartbeat_at, state.heartbeat_serial
     stored = state.earlier_boot if state.earlier_boot != heartbeat.boot else ""
     state.report = replace(
         state.report,
@@ -163,33 +174,42 @@
     elif state.earlier_boot not in ("", heartbeat.boot):
         state.knows_all_flows = state.may_hold_recent = True
     _record_earlier_boot_ended(state)
+    state.superseded_boots.pop(heartbeat.boot, None)
     if not previous:
         return []
-    state.ended_boots.add(previous)
+    state.superseded_boots[previous] = last_serial
     state.knows_all_flows = True
     state.may_hold_recent = False
     if state.report.state == UpstreamState.READY:
         record_crash(state.health, now)
-    resent = _resend_running_requests(state, alive_at)
-    effects = reset_flows(state, "upstream restarted", now, taken_until=alive_at)
-    return effects + resent
+    probes = _verify_open_flows(state)
+    resets = reset_flows(
+        state, "upstream restarted", now, taken_until=alive_at, unverified=False
+    )
+    return [*resets, *probes]
 
 
-def _resend_running_requests(state: AgentState, alive_at: float) -> list[Effect]:
-    """Send again the last packets of running requests that may be of the new boot.
+def _verify_open_flows(state: AgentState) -> list[Effect]:
+    """Find out which open flows the upstream holds.
 
-    A flow taken since the previous boot's last heartbeat may be of either boot, as a
-    new one takes flows before its first heartbeat arrives.  The new boot ignores the
-    copy if it holds the flow and bounces it otherwise, so that the flow is reset at
-    once rather than at the caller's deadline.
+    The current boot ignores the copy of a flow's packet if it holds the flow, and
+    bounces it otherwise, so that the flow is reset at once.  A heartbeat alone does not
+    show that a flow has ended: it may be delayed, or overtaken by one of another boot.
     """
-    return [
-        SendToUpstream(flow.last_request_packet, flow.balancer)
-        for flow in state.flows.values()
-        if flow.running
-        and flow.last_request_packet is not None
-        and _was_taken_after(flow, alive_at)
-    ]
+    for flow in state.flows.values():
+        if flow.phase == Phase.OPEN and not flow.closed and flow.probe_packet:
+            flow.probes_left = MAX_PROBES
+    return send_probes(state)
+
+
+def send_probes(state: AgentState) -> list[Effect]:
+    """Send the packets that show whether the upstream holds unverified flows."""
+    effects: list[Effect] = []
+    for flow in state.flows.values():
+        if flow.probes_left and flow.probe_packet is not None:
+            flow.probes_left -= 1
+            effects.append(SendToUpstream(flow.probe_packet, flow.balancer))
+    return effects
 
 
 def _record_earlier_boot_ended(state: AgentState) -> None:
@@ -238,7 +258,7 @@
 
     If such a heartbeat was the first one to arrive, the current boot is unknown again.
     """
-    state.ended_boots.add(earlier.previous_boot)
+    state.superseded_boots.setdefault(earlier.previous_boot, 0)
     report = state.report
     if report.boot == earlier.previous_boot:
         state.knows_all_flows = state.first_heartbeat_received = False
@@ -253,7 +273,12 @@
 
 
 def reset_flows(
-    state: AgentState, reason: str, now: float, *, taken_until: float = math.inf
+    state: AgentState,
+    reason: str,
+    now: float,
+    *,
+    taken_until: float = math.inf,
+    unverified: bool = True,
 ) -> list[Effect]:
     """Reset the open flows of a boot of the upstream that has ended.
 
@@ -262,10 +287,13 @@
     taken_until : float
         When the ended boot was last known to be alive.  Flows taken later may be of
         the next boot and are kept; it bounces packets of flows that it does not hold.
+    unverified : bool
+        Whether also flows are reset that are half open or being verified.
     """
     effects: list[Effect] = []
     for key, flow in list(state.flows.items()):
-        if _was_taken_after(flow, taken_until):
+        is_verified = flow.phase == Phase.OPEN and not flow.probes_left
+        if _was_taken_after(flow, taken_until) or not (unverified or is_verified):
             continue
         if flow.phase == Phase.OPEN and not flow.closed:
             effects.append(ResetFlow(key, flow.caller_ack))
--- a/shedsill/tests/test_datagram_heartbeats.py
+++ b/shedsill/tests/test_datagram_heartbeats.py
@@ -12,6 +12,7 @@
 from shedsill._addresses import Address
 from shedsill._catalogue import LogEvent
 from shedsill.coordination.platform import MemoryPlatform
+from shedsill.datagram._agent import SWEEP_INTERVAL_SECONDS
 from shedsill.datagram._agent_state import AgentFlow, AgentState, Phase
 from shedsill.datagram._backlog import QueuedRequest
 from shedsill.datagram._effects import Effect, ResetFlow, SendToUpstream
@@ -32,7 +33,7 @@
 )
 from shedsill.platform.heartbeats import InstanceCalls
 from shedsill.testing.agents import make_agent_state
-from shedsill.testing.datagram_simulation import Simulation
+from shedsill.testing.datagram_simulation import LATENCY_SECONDS, Simulation
 from shedsill.testing.flow_endpoints import CODEC, make_packet
 from shedsill.testing.node_settings import NODE_PORT_COUNT, make_node_settings
 from shedsill.testing.ports import get_free_ports
@@ -322,3 +323,62 @@
     assert simulation.nodes["10.1.0.1"].report.boot == living.boot
     simulation.run(5.0)
     assert caller.outcome == "answered"
+
+
+@pytest.fixture
+def simulation() -> Simulation:
+    simulation = Simulation(services=("dispatcher",))
+    simulation.add_agent("10.1.0.1", "dispatcher", knows_all_flows=True)
+    simulation.add_balancer("10.0.0.1")
+    simulation.run(3.0)
+    return simulation
+
+
+def test_late_heartbeat_of_previous_boot_ends_no_flow_of_next_one(
+    simulation: Simulation,
+) -> None:
+    """Flows taken before it counted as those of the previous boot."""
+    previous = simulation.upstreams["10.1.0.1"]
+    simulation.crash_upstream("10.1.0.1")
+    simulation.run(0.3)
+    simulation.start_upstream("10.1.0.1", "dispatcher")
+    caller = simulation.add_caller("dispatcher", "10.0.0.1", requests=4)
+    simulation.run(0.05)
+    assert caller.is_open
+    simulation.send_heartbeat_of(
+        previous, serial=previous.heartbeat_serial + 1, state=UpstreamState.READY
+    )
+    simulation.run(0.05)
+    simulation.send_heartbeat("10.1.0.1")
+    simulation.run(5.0)
+    assert caller.outcome == "answered"
+
+
+def test_flow_of_ended_boot_is_reset_by_first_heartbeat_of_next_one(
+    simulation: Simulation,
+) -> None:
+    """Its caller may have nothing left to send, and would wait until its deadline."""
+    caller = simulation.add_caller("dispatcher", "10.0.0.1", requests=4)
+    simulation.run(0.02)
+    assert caller.is_open
+    simulation.crash_upstream("10.1.0.1")
+    simulation.start_upstream("10.1.0.1", "dispatcher")
+    simulation.send_heartbeat("10.1.0.1")
+    simulation.run(3 * LATENCY_SECONDS)
+    assert caller.outcome == "reset"
+    assert simulation.nodes["10.1.0.1"].running == 0
+
+
+def test_lost_probe_of_ended_flow_is_repeated(simulation: Simulation) -> None:
+    """The upstream's socket may overflow when many flows are verified at once."""
+    caller = simulation.add_caller("dispatcher", "10.0.0.1", requests=4)
+    simulation.run(0.1)
+    caller.schedule = lambda after, action: None  # the caller sends no more
+    simulation.crash_upstream("10.1.0.1")
+    upstream = simulation.start_upstream("10.1.0.1", "dispatcher")
+    simulation.send_heartbeat("10.1.0.1")
+    upstream.alive = False
+    simulation.run(2 * LATENCY_SECONDS)
+    upstream.alive = True
+    simulation.run(SWEEP_INTERVAL_SECONDS + 0.1)
+    assert caller.outcome == "reset"
