--- a/shedsill/datagram/_agent_packets.py
+++ b/shedsill/datagram/_agent_packets.py
@@ -94,7 +94,7 @@
         effects = _slots.drop_request(state, packet.flow, now)
         del state.flows[packet.flow]
         return effects + _handle_syn(state, packet, balancer, now)
-    accepting = can_accept_flows(state)
+    accepting = can_accept_flows(state, now)
     if (
         flow is not None
         and _is_syn_copy(flow, packet)
@@ -146,7 +146,7 @@
     if flow.initial_seq is not None:
         effects.append(_report_taken_flow(state, packet.flow, flow, balancer, now))
     may_need_answer = flow.phase == Phase.HALF_OPEN or flow.initial_seq is None
-    if may_need_answer and can_accept_flows(state):
+    if may_need_answer and can_accept_flows(state, now):
         effects.append(SendToUpstream(packet, balancer))
     return effects
 
--- a/shedsill/datagram/_agent_state.py
+++ b/shedsill/datagram/_agent_state.py
@@ -23,6 +23,10 @@
 )
 from shedsill.datagram._packet import RST, Packet, is_syn
 
+BOOT_SILENCE_SECONDS = 3.0
+"""Time without a heartbeat of the current boot after which a later heartbeat of another
+boot is accepted: two and a half heartbeat intervals of 1.2 s."""
+
 AVERAGE_BUSY_SECONDS = 1.0
 """Time constant of the moving average of busy requests."""
 
@@ -188,19 +192,27 @@
     upstream_leaving: bool = False
 
 
-def can_accept_flows(state: AgentState) -> bool:
+def can_accept_flows(state: AgentState, now: float) -> bool:
     """Whether the upstream may be offered new flows.
 
-    It may be before its first heartbeat: only this agent could have confirmed that it
-    is draining, and balancers that know of it offer it no flows.
+    It may be before its first heartbeat, but only for a limited time: a previous
+    incarnation of this agent may have confirmed that the upstream is draining, without
+    being able to store that.
     """
-    known = state.report.state in (UpstreamState.READY, UpstreamState.UNKNOWN)
-    return known and state.stop_at is None
+    if state.stop_at is not None:
+        return False
+    match state.report.state:
+        case UpstreamState.READY:
+            return True
+        case UpstreamState.UNKNOWN:
+            return now - state.heartbeat_silence_started_at < BOOT_SILENCE_SECONDS
+    return False
 
 
 def get_serving_state(state: AgentState) -> UpstreamState:
     """Return the state of an upstream that is known to be alive."""
-    is_draining = state.report.boot in state.draining_boots
+    boot = state.report.boot or state.earlier_boot
+    is_draining = boot in state.draining_boots
     return UpstreamState.DRAINING if is_draining else UpstreamState.READY
 
 
--- a/shedsill/datagram/_runtime/agent.py
+++ b/shedsill/datagram/_runtime/agent.py
@@ -8,7 +8,7 @@
 from shedsill._common_effects import WriteLog
 from shedsill.coordination.platform import Platform
 from shedsill.datagram import _agent
-from shedsill.datagram._agent_state import AgentState, can_accept_flows
+from shedsill.datagram._agent_state import AgentState
 from shedsill.datagram._effects import (
     CheckUpstream,
     Effect,
@@ -23,7 +23,7 @@
     UpstreamLeaving,
     UpstreamPacket,
 )
-from shedsill.datagram._messages import NodeReport
+from shedsill.datagram._messages import NodeReport, UpstreamState
 from shedsill.datagram._runtime.http import Response
 from shedsill.datagram._runtime.node import (
     HTTP_NOT_FOUND,
@@ -87,8 +87,12 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether the upstream accepts new flows."""
-        return can_accept_flows(self.state)
+        """Whether this node is not stopping and its upstream has not announced its end.
+
+        A VM whose upstream has not started yet is ready.
+        """
+        serving = (UpstreamState.READY, UpstreamState.UNKNOWN)
+        return self.state.report.state in serving and self.state.stop_at is None
 
     def list_gauges(self) -> list[str]:
         """Return the agent's gauges in the Prometheus text format."""
--- a/shedsill/datagram/_upstream.py
+++ b/shedsill/datagram/_upstream.py
@@ -10,6 +10,7 @@
 from shedsill._common_effects import WriteLog
 from shedsill.datagram import _slots
 from shedsill.datagram._agent_state import (
+    BOOT_SILENCE_SECONDS,
     AgentFlow,
     AgentState,
     Phase,
@@ -36,10 +37,6 @@
 FIRST_SERIAL = 1
 """Serial of the first heartbeat of an upstream's boot."""
 
-BOOT_SILENCE_SECONDS = 3.0
-"""Time without a heartbeat of the current boot after which a later heartbeat of another
-boot is accepted: two and a half heartbeat intervals of 1.2 s."""
-
 MAX_PROBES = 3
 """Packets sent to find out whether the upstream holds a flow; it ignores them if it
 does, and one may be lost."""
@@ -229,7 +226,8 @@
     available when this agent started: during an outage the earlier incarnation may have
     served a later boot of the upstream without storing it.
 
-    The stored number of slots is used until the upstream's heartbeat arrives.
+    The stored number of slots is used until the upstream's heartbeat arrives.  A boot
+    that was draining still is.
     """
     earlier, report = event.report, state.report
     if earlier.incarnation == report.incarnation:
@@ -248,9 +246,23 @@
     fields = {
         "boot": state.report.boot,
         "earlier": earlier.boot,
+        "state": earlier.state.value,
         "complete": state.knows_all_flows,
     }
-    return [WriteLog(event=LogEvent.EARLIER_REPORT, fields=fields)]
+    log_entry = WriteLog(event=LogEvent.EARLIER_REPORT, fields=fields)
+    if earlier.state != UpstreamState.DRAINING:
+        return [log_entry]
+    return [log_entry, *_restore_drain(state, earlier.boot, event.now)]
+
+
+def _restore_drain(state: AgentState, boot: str, now: float) -> list[Effect]:
+    """Continue the drain that an earlier incarnation of this agent has confirmed."""
+    state.draining_boots.add(boot)
+    if state.report.boot == boot and state.report.state == UpstreamState.READY:
+        return update_upstream_state(state, UpstreamState.DRAINING, now)
+    if state.report.boot == "" and state.report.state == UpstreamState.UNKNOWN:
+        state.report = replace(state.report, state=UpstreamState.DRAINING)
+    return []
 
 
 def _record_previous_boot(state: AgentState, earlier: NodeReport) -> NodeReport:
--- a/shedsill/tests/test_datagram_drain.py
+++ b/shedsill/tests/test_datagram_drain.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 from attrs import evolve
 from msgspec.structs import replace
@@ -16,6 +18,8 @@
 AGENT, OTHER_AGENT = "10.1.0.1", "10.1.0.2"
 LONG_LIFE_SECONDS = 12.0
 """Time in which an upstream sends ten heartbeats."""
+LONG_REQUESTS = 40
+"""Requests of a flow that is open for some 14 s."""
 
 
 @pytest.fixture
@@ -83,3 +87,55 @@
     simulation._dispatch(AGENT, event)
     assert not simulation._is_confirmed(AGENT, event)
     assert simulation.nodes[AGENT].report.state == UpstreamState.READY
+
+
+def restart_agent(simulation: Simulation) -> None:
+    """Restart the agent of an upstream that sends no heartbeat afterwards."""
+    simulation.kill(AGENT)
+    simulation.run(0.3)
+    simulation.first_heartbeat_delay = math.inf
+    simulation.add_agent(AGENT, SERVICE)
+
+
+@pytest.mark.parametrize("stored", [False, True])
+def test_confirmed_drain_stays_in_force_at_a_restarted_agent(
+    simulation: Simulation, stored: bool
+) -> None:
+    """Its upstream was unknown again, and took flows until its next heartbeat."""
+    for _ in range(4):
+        simulation.add_caller(SERVICE, BALANCER, requests=LONG_REQUESTS)
+    simulation.run(0.2)
+    assert simulation.upstreams[AGENT].flows, "the balancer would not probe the agent"
+    simulation.store_available = stored
+    assert simulation.drain_upstream(AGENT)
+    restart_agent(simulation)
+    flows_before = set(simulation.callers)
+    open_flows_after_limit(simulation)
+    processed = set(simulation.upstreams[AGENT].processed_flows)
+    assert processed <= flows_before
+
+
+def test_next_boot_takes_flows_at_an_agent_that_was_restarted_during_a_drain(
+    simulation: Simulation,
+) -> None:
+    """The stored drain must not be that of the next boot."""
+    assert simulation.drain_upstream(AGENT)
+    restart_agent(simulation)
+    simulation.run(0.1)
+    simulation.crash_upstream(AGENT)
+    simulation.start_upstream(AGENT, SERVICE)
+    assert simulation.send_heartbeat(AGENT)
+    open_flows_after_limit(simulation)
+    assert simulation.upstreams[AGENT].processed_flows
+
+
+def test_end_of_stored_boot_is_confirmed_by_a_restarted_agent(
+    simulation: Simulation,
+) -> None:
+    """It was answered with success, but the upstream kept taking flows."""
+    simulation.run(1.0)
+    restart_agent(simulation)
+    simulation.run(0.1)
+    assert simulation.announce_end(AGENT)
+    open_flows_after_limit(simulation)
+    assert len(simulation.upstreams[OTHER_AGENT].processed_flows) == 8
