--- /dev/null
+++ b/shedsill/datagram/_boots.py
@@ -0,0 +1,64 @@
+"""Names of an upstream's boots, and their order.
+
+A boot is named by the ID of the upstream and, if the upstream tells it, by the time of
+its start, since an upstream may start again under its ID.
+"""
+
+from __future__ import annotations
+
+SEPARATOR = "/"
+"""Between ID and start; an ID is one segment of a path."""
+
+
+def format_boot(upstream_id: str, started_ms: int) -> str:
+    """Return the name of a boot.
+
+    Parameters
+    ----------
+    started_ms : int
+        Unix time of its start in milliseconds; 0 if unknown.
+
+    Examples
+    --------
+    >>> format_boot("i-1", 1700), format_boot("i-1", 0)
+    ('i-1/1700', 'i-1')
+    """
+    return f"{upstream_id}{SEPARATOR}{started_ms}" if started_ms else upstream_id
+
+
+def split_boot(boot: str) -> tuple[str, int]:
+    """Return the ID of the upstream and the time of the boot's start, or 0.
+
+    Examples
+    --------
+    >>> split_boot("i-1/1700"), split_boot("i-1")
+    (('i-1', 1700), ('i-1', 0))
+    """
+    upstream_id, _, start = boot.partition(SEPARATOR)
+    return upstream_id, int(start) if start.isdecimal() else 0
+
+
+def may_be_same_boot(first: str, second: str) -> bool:
+    """Whether two names may be those of one boot; one may lack the start.
+
+    Examples
+    --------
+    >>> may_be_same_boot("i-1", "i-1/1700"), may_be_same_boot("i-1/1600", "i-1/1700")
+    (True, False)
+    """
+    first_id, first_start = split_boot(first)
+    second_id, second_start = split_boot(second)
+    same_start = first_start == second_start or not (first_start and second_start)
+    return first_id == second_id and same_start
+
+
+def is_earlier_boot(first: str, second: str) -> bool:
+    """Whether the first boot is known to have started before the second one.
+
+    Examples
+    --------
+    >>> is_earlier_boot("i-2/1600", "i-1/1700"), is_earlier_boot("i-2", "i-1/1700")
+    (True, False)
+    """
+    first_start, second_start = split_boot(first)[1], split_boot(second)[1]
+    return 0 < first_start < second_start
--- a/shedsill/datagram/_upstream.py
+++ b/shedsill/datagram/_upstream.py
@@ -18,6 +18,7 @@
     publish_report,
     update_upstream_state,
 )
+from shedsill.datagram._boots import is_earlier_boot, may_be_same_boot
 from shedsill.datagram._effects import (
     Effect,
     RemoveReport,
@@ -115,18 +116,29 @@
     A new boot is accepted with its first heartbeat.  A later heartbeat of another boot,
     while the current one is alive, must be of an earlier boot.  A superseded boot is
     accepted again if it sends new heartbeats while the current one is silent.
+
+    The known starts of two boots decide, but only until the current one is silent: the
+    clock may have stepped back in between.
     """
     report = state.report
     if report.boot == heartbeat.boot:
         return False
-    silence = now - state.heartbeat_silence_started_at
+    current = report.boot or state.earlier_boot
+    silent = now - state.heartbeat_silence_started_at >= BOOT_SILENCE_SECONDS
     last_serial = state.superseded_boots.get(heartbeat.boot)
+    if last_serial is not None and heartbeat.serial <= last_serial:
+        return True
+    if current not in state.ended_boots:
+        if is_earlier_boot(heartbeat.boot, current):
+            return not silent
+        if is_earlier_boot(current, heartbeat.boot):
+            return False
     if last_serial is not None:
-        return heartbeat.serial <= last_serial or silence < BOOT_SILENCE_SECONDS
+        return not silent
     if report.boot == "" or heartbeat.serial == FIRST_SERIAL:
         return False
     alive = report.state in (UpstreamState.READY, UpstreamState.DRAINING)
-    return alive and silence < BOOT_SILENCE_SECONDS
+    return alive and not silent
 
 
 def _log_outdated(state: AgentState, heartbeat: Heartbeat) -> WriteLog:
@@ -155,6 +167,7 @@
     A boot whose first heartbeat is received began after the agent's start, so that all
     of its flows are known.
     """
+    _name_earlier_boot(state, heartbeat.boot)
     previous = state.report.boot
     alive_at, last_serial = state.last_heartbeat_at, state.heartbeat_serial
     stored = state.earlier_boot if state.earlier_boot != heartbeat.boot else ""
@@ -209,6 +222,14 @@
     return effects
 
 
+def _name_earlier_boot(state: AgentState, boot: str) -> None:
+    """Use a boot's full name if the stored one may be the same without its start."""
+    if may_be_same_boot(state.earlier_boot, boot):
+        if state.earlier_boot in state.draining_boots:
+            state.draining_boots.add(boot)
+        state.earlier_boot = boot
+
+
 def _record_earlier_boot_ended(state: AgentState) -> None:
     """Ignore the stored boot from now on if the current boot certainly came later."""
     if state.first_heartbeat_received and state.earlier_boot not in (
@@ -232,11 +253,12 @@
     earlier, report = event.report, state.report
     if earlier.incarnation == report.incarnation:
         return []
-    if earlier.previous_boot:
-        report = state.report = _record_previous_boot(state, earlier)
+    report = state.report = _ignore_boots_before(state, earlier)
     if event.at_start:
         state.earlier_boot = earlier.boot
-        if earlier.boot and report.boot and earlier.boot != report.boot:
+        if report.boot:
+            _name_earlier_boot(state, report.boot)
+        if state.earlier_boot and report.boot and state.earlier_boot != report.boot:
             state.knows_all_flows = True
             state.may_hold_recent = not state.first_heartbeat_received
             _record_earlier_boot_ended(state)
@@ -252,7 +274,10 @@
     log_entry = WriteLog(event=LogEvent.EARLIER_REPORT, fields=fields)
     if earlier.state != UpstreamState.DRAINING:
         return [log_entry]
-    return [log_entry, *_restore_drain(state, earlier.boot, event.now)]
+    boot = state.report.boot or earlier.boot
+    if not may_be_same_boot(boot, earlier.boot):
+        boot = earlier.boot
+    return [log_entry, *_restore_drain(state, boot, event.now)]
 
 
 def _restore_drain(state: AgentState, boot: str, now: float) -> list[Effect]:
@@ -265,17 +290,24 @@
     return []
 
 
-def _record_previous_boot(state: AgentState, earlier: NodeReport) -> NodeReport:
-    """Ignore heartbeats of the stored boot's predecessor; return the own report.
+def _ignore_boots_before(state: AgentState, earlier: NodeReport) -> NodeReport:
+    """Ignore late heartbeats of boots before the stored one; return the own report.
 
     If such a heartbeat was the first one to arrive, the current boot is unknown again.
     """
-    state.superseded_boots.setdefault(earlier.previous_boot, 0)
+    if earlier.previous_boot:
+        state.superseded_boots.setdefault(earlier.previous_boot, 0)
     report = state.report
-    if report.boot == earlier.previous_boot:
+    if report.boot and (
+        report.boot == earlier.previous_boot
+        or is_earlier_boot(report.boot, earlier.boot)
+    ):
+        state.superseded_boots[report.boot] = state.heartbeat_serial
         state.knows_all_flows = state.first_heartbeat_received = False
         report = replace(report, boot="", state=UpstreamState.UNKNOWN)
-    if report.boot in ("", earlier.boot):
+    if earlier.previous_boot and (
+        report.boot == "" or may_be_same_boot(report.boot, earlier.boot)
+    ):
         report = replace(report, previous_boot=earlier.previous_boot)
     return report
 
@@ -324,16 +356,18 @@
 
 def handle_leave(state: AgentState, event: UpstreamLeaving) -> list[Effect]:
     """Mark the upstream as gone, since it has announced the end of its boot."""
-    if state.report.boot == "" and event.boot == state.earlier_boot:
-        state.report = replace(state.report, boot=event.boot)
-    if event.boot != state.report.boot:
+    if state.report.boot == "" and may_be_same_boot(event.boot, state.earlier_boot):
+        state.report = replace(state.report, boot=state.earlier_boot)
+    if event.boot in state.superseded_boots:
+        state.ended_boots.add(event.boot)
+    if not may_be_same_boot(event.boot, state.report.boot):
         fields = {
             "boot": event.boot,
             "current": state.report.boot,
             "state": state.report.state.value,
         }
         return [WriteLog(event=LogEvent.LEAVE_IGNORED, fields=fields)]
-    state.ended_boots.add(event.boot)
+    state.ended_boots |= {event.boot, state.report.boot}
     state.upstream_leaving = True
     state.last_check_at = event.now
     return [
--- a/shedsill/platform/heartbeats.py
+++ b/shedsill/platform/heartbeats.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 from msgspec import Struct
 
+from shedsill.datagram._boots import SEPARATOR, format_boot
 from shedsill.datagram._events import Heartbeat, UpstreamLeaving
 from shedsill.datagram._messages import UpstreamState
 from shedsill.errors import DecodeError
@@ -14,6 +17,9 @@
 INSTANCES_PATH = "/-/instances/"
 
 
+Milliseconds = Annotated[int, msgspec.Meta(ge=0)]
+
+
 class _Beat(Struct, frozen=True, kw_only=True):
     """Body of a heartbeat.
 
@@ -23,15 +29,25 @@
         Remaining time for which the upstream is slow after its start.
     seq : int
         Increases with each call of one boot.
+    born : int
+        Unix time of the boot's start in milliseconds; 0 if missing.
     """
 
     seq: int
     state: UpstreamState
     slots: int
     cold_left_ms: int = 0
+    born: Milliseconds = 0
+
+
+class _Leave(Struct, frozen=True, kw_only=True):
+    """Body of the call that announces an end; it may be empty."""
+
+    born: Milliseconds = 0
 
 
-_DECODER = msgspec.json.Decoder(_Beat)
+_BEAT_DECODER = msgspec.json.Decoder(_Beat)
+_LEAVE_DECODER = msgspec.json.Decoder(_Leave)
 
 
 class InstanceCalls:
@@ -41,24 +57,27 @@
         self, method: str, path: str, body: bytes, now: float
     ) -> Heartbeat | UpstreamLeaving | None:
         """Decode a call; None if it does not concern an instance."""
-        boot = path.partition("?")[0].removeprefix(INSTANCES_PATH)
-        if boot == path or not boot:
+        route = path.partition("?")[0]
+        name = route.removeprefix(INSTANCES_PATH)
+        if name == route or not name or SEPARATOR in name:
             return None
-        match method:
-            case "PUT":
-                return _decode_heartbeat(boot, body)
-            case "DELETE":
-                return UpstreamLeaving(boot=boot, now=now)
+        try:
+            match method:
+                case "PUT":
+                    return _decode_heartbeat(name, body)
+                case "DELETE":
+                    leave = _LEAVE_DECODER.decode(body or b"{}")
+                    boot = format_boot(name, leave.born)
+                    return UpstreamLeaving(boot=boot, now=now)
+        except msgspec.MsgspecError as error:
+            raise DecodeError(f"invalid call of an upstream: {error}") from error
         return None
 
 
-def _decode_heartbeat(boot: str, body: bytes) -> Heartbeat:
-    try:
-        call = _DECODER.decode(body)
-    except msgspec.MsgspecError as error:
-        raise DecodeError(f"invalid heartbeat: {error}") from error
+def _decode_heartbeat(name: str, body: bytes) -> Heartbeat:
+    call = _BEAT_DECODER.decode(body)
     return Heartbeat(
-        boot=boot,
+        boot=format_boot(name, call.born),
         serial=call.seq,
         state=call.state,
         slots=call.slots,
--- a/shedsill/testing/datagram_simulation.py
+++ b/shedsill/testing/datagram_simulation.py
@@ -277,7 +277,7 @@
     def announce_end(self, host: str) -> bool:
         """Have an upstream announce that it ends; return whether that is confirmed."""
         upstream = self.upstreams[host]
-        event = UpstreamLeaving(boot=upstream.boot, now=self.now)
+        event = UpstreamLeaving(boot=upstream.boot_name, now=self.now)
         self._dispatch(host, event)
         confirmed = self._is_confirmed(host, event)
         if confirmed:
@@ -389,7 +389,9 @@
         self, upstream: Upstream, *, serial: int, state: UpstreamState
     ) -> bool:
         """Send a heartbeat of any boot, ended or not, to the agent of its VM."""
-        heartbeat = Heartbeat(boot=upstream.boot, serial=serial, state=state, slots=3)
+        heartbeat = Heartbeat(
+            boot=upstream.boot_name, serial=serial, state=state, slots=3
+        )
         received = HeartbeatReceived(heartbeat=heartbeat, now=self.now)
         self._dispatch(upstream.host, received)
         confirmed = self._is_confirmed(upstream.host, heartbeat)
--- a/shedsill/testing/flow_endpoints.py
+++ b/shedsill/testing/flow_endpoints.py
@@ -14,6 +14,7 @@
 
 from attrs import define, field
 
+from shedsill.datagram._boots import format_boot
 from shedsill.datagram._messages import UpstreamState
 from shedsill.datagram._packet import ACK, BOUNCED, RST, SEQUENCE_SPACE, SYN, Packet
 from shedsill.platform.packets import HeaderCodec
@@ -131,6 +132,11 @@
     offered_flows: dict[bytes, int] = field(factory=dict)
     processed_flows: list[bytes] = field(factory=list)
 
+    @property
+    def boot_name(self) -> str:
+        """Name of the boot, with its start if the upstream tells it."""
+        return format_boot(self.boot, self.started_ms)
+
     def crash(self) -> None:
         """Stop answering and drop all flows."""
         self.alive = False
--- a/shedsill/tests/test_datagram_heartbeats.py
+++ b/shedsill/tests/test_datagram_heartbeats.py
@@ -33,8 +33,12 @@
 )
 from shedsill.platform.heartbeats import InstanceCalls
 from shedsill.testing.agents import make_agent_state
-from shedsill.testing.datagram_simulation import LATENCY_SECONDS, Simulation
-from shedsill.testing.flow_endpoints import CODEC, make_packet
+from shedsill.testing.datagram_simulation import (
+    HEARTBEAT_INTERVAL_SECONDS,
+    LATENCY_SECONDS,
+    Simulation,
+)
+from shedsill.testing.flow_endpoints import CODEC, Upstream, make_packet
 from shedsill.testing.node_settings import NODE_PORT_COUNT, make_node_settings
 from shedsill.testing.ports import get_free_ports
 
@@ -382,3 +386,105 @@
     upstream.alive = True
     simulation.run(SWEEP_INTERVAL_SECONDS + 0.1)
     assert caller.outcome == "reset"
+
+
+def restart_under_its_id(simulation: Simulation) -> tuple[Upstream, Upstream]:
+    """Start an upstream twice under its ID; return both starts."""
+    first = simulation.restart_upstream("10.1.0.1", "dispatcher")
+    simulation.send_heartbeat("10.1.0.1")
+    simulation.run(3.0)
+    second = simulation.restart_upstream("10.1.0.1", "dispatcher")
+    simulation.send_heartbeat("10.1.0.1")
+    return first, second
+
+
+def test_flows_of_earlier_start_under_the_same_id_are_reset(
+    simulation: Simulation,
+) -> None:
+    """The restart was not noticed: callers waited until their deadline."""
+    simulation.restart_upstream("10.1.0.1", "dispatcher")
+    simulation.send_heartbeat("10.1.0.1")
+    simulation.run(3.0)
+    caller = simulation.add_caller("dispatcher", "10.0.0.1", requests=4)
+    simulation.run(0.02)
+    simulation.restart_upstream("10.1.0.1", "dispatcher")
+    simulation.send_heartbeat("10.1.0.1")
+    simulation.run(3 * LATENCY_SECONDS)
+    assert caller.outcome == "reset"
+
+
+@pytest.mark.parametrize("state", [UpstreamState.READY, UpstreamState.DRAINING])
+def test_late_heartbeat_of_earlier_start_changes_nothing(
+    simulation: Simulation, state: UpstreamState
+) -> None:
+    """A late one that says draining must neither drain the next start nor succeed."""
+    first, second = restart_under_its_id(simulation)
+    for serial in (FIRST_SERIAL, first.heartbeat_serial + 1):
+        assert not simulation.send_heartbeat_of(first, serial=serial, state=state)
+    report = simulation.nodes["10.1.0.1"].report
+    assert (report.boot, report.state) == (second.boot_name, UpstreamState.READY)
+
+
+def test_late_end_of_earlier_start_changes_nothing(simulation: Simulation) -> None:
+    """The next start took no flows until its count had passed that of the first."""
+    first, second = restart_under_its_id(simulation)
+    event = UpstreamLeaving(boot=first.boot_name, now=simulation.now)
+    simulation._dispatch("10.1.0.1", event)
+    report = simulation.nodes["10.1.0.1"].report
+    assert (report.boot, report.state) == (second.boot_name, UpstreamState.READY)
+
+
+def test_first_heartbeat_of_earlier_start_that_was_not_heard_of_is_ignored(
+    simulation: Simulation,
+) -> None:
+    """Its start tells that it is not the next one."""
+    _first, second = restart_under_its_id(simulation)
+    unheard = evolve(second, boot="i-unheard", started_ms=second.started_ms - 500)
+    assert not simulation.send_heartbeat_of(
+        unheard, serial=FIRST_SERIAL, state=UpstreamState.READY
+    )
+    assert simulation.nodes["10.1.0.1"].report.boot == second.boot_name
+
+
+def test_start_after_a_step_back_of_the_clock_is_accepted(
+    simulation: Simulation,
+) -> None:
+    """It seems to be the earlier one, until the other is silent."""
+    _first, second = restart_under_its_id(simulation)
+    third = simulation.restart_upstream("10.1.0.1", "dispatcher")
+    third.started_ms = second.started_ms - 2000
+    simulation.run(BOOT_SILENCE_SECONDS + HEARTBEAT_INTERVAL_SECONDS)
+    assert simulation.nodes["10.1.0.1"].report.boot == third.boot_name
+
+
+def test_end_without_a_start_is_that_of_the_current_boot(
+    simulation: Simulation,
+) -> None:
+    """The call that announces an end may have no body."""
+    _first, second = restart_under_its_id(simulation)
+    event = UpstreamLeaving(boot=second.boot, now=simulation.now)
+    simulation._dispatch("10.1.0.1", event)
+    assert simulation._is_confirmed("10.1.0.1", event)
+    assert simulation.nodes["10.1.0.1"].report.state == UpstreamState.GONE
+
+
+def test_restarted_agent_ignores_boots_that_started_before_the_stored_one() -> None:
+    """It took such a boot for a new one, and denied the flows of the living one."""
+    for read_after in (0, 1):
+        state = restart_agent(
+            ("i-1/100", FIRST_SERIAL),
+            ("i-3/300", 6),
+            earlier=("i-3/300", "i-2/200"),
+            read_after=read_after,
+        )
+        assert state.report.boot == "i-3/300"
+        assert not state.knows_all_flows
+
+
+def test_stored_boot_without_its_start_is_the_current_one() -> None:
+    """An agent of the earlier version stored the ID only; flows must not be denied."""
+    for read_after in (0, 1):
+        state = restart_agent(
+            ("i-3/300", 6), earlier=("i-3", "i-2"), read_after=read_after
+        )
+        assert not state.knows_all_flows
--- a/shedsill/tests/test_platform_settings.py
+++ b/shedsill/tests/test_platform_settings.py
@@ -184,6 +184,11 @@
     assert heartbeat == Heartbeat(
         boot="i-1", serial=9, state=UpstreamState.DRAINING, slots=4, cold=1.5
     )
+    born = json.dumps({**HEARTBEAT, "born": 1700}).encode()
+    started = calls.decode_call("PUT", "/-/instances/i-1", born, 5.0)
+    assert isinstance(started, Heartbeat) and started.boot == "i-1/1700"
+    left = calls.decode_call("DELETE", "/-/instances/i-1", b'{"born": 1700}', 5.0)
+    assert left == UpstreamLeaving(boot="i-1/1700", now=5.0)
     left = calls.decode_call("DELETE", "/-/instances/i-1", b"", 5.0)
     assert left == UpstreamLeaving(boot="i-1", now=5.0)
     assert calls.decode_call("GET", "/-/instances/i-1", b"", 5.0) is None
