--- a/shedsill/datagram/_agent.py
+++ b/shedsill/datagram/_agent.py
@@ -111,7 +111,7 @@
     effects += repeat_announcement(state, now)
     if needs_check(state, now):
         state.check_pending = True
-        state.last_check_at = now
+        state.last_check_at = state.check_started_at = now
         effects.append(CheckUpstream())
     return effects + _finish_stop(state, now)
 
--- a/shedsill/datagram/_agent_state.py
+++ b/shedsill/datagram/_agent_state.py
@@ -148,6 +148,8 @@
         Until when new flows are returned, after the upstream has refused one.
     unanswered_since : float or None
         When the first packet since the upstream's last one was sent to it.
+    check_started_at : float
+        When the last check of the upstream's port was started.
     trial_flows : dict of bytes to str
         Unknown flows of which a packet was sent to the upstream, with the balancer
         that forwarded each.
@@ -184,6 +186,7 @@
     refused_until: float = 0.0
     unanswered_since: float | None = None
     last_check_at: float = 0.0
+    check_started_at: float = 0.0
     check_pending: bool = False
     started_at: float = 0.0
     last_tick_at: float | None = None
--- a/shedsill/datagram/_upstream.py
+++ b/shedsill/datagram/_upstream.py
@@ -389,7 +389,11 @@
 
 
 def handle_check_result(state: AgentState, event: UpstreamChecked) -> list[Effect]:
-    """Update the upstream's state by whether its port accepts connections."""
+    """Update the upstream's state by whether its port accepts connections.
+
+    A refusal ends the flows that were taken before the check was started; a boot that
+    started meanwhile may have taken the others.
+    """
     state.check_pending = False
     now = event.now
     if event.open:
@@ -409,5 +413,10 @@
         state.may_hold_recent = False
         if not state.upstream_leaving:
             record_crash(state.health, now)
-        effects += reset_flows(state, "upstream refuses connections", now)
+        effects += reset_flows(
+            state,
+            "upstream refuses connections",
+            now,
+            taken_until=state.check_started_at,
+        )
     return effects
--- a/shedsill/tests/test_datagram_heartbeats.py
+++ b/shedsill/tests/test_datagram_heartbeats.py
@@ -12,14 +12,21 @@
 from shedsill._addresses import Address
 from shedsill._catalogue import LogEvent
 from shedsill.coordination.platform import MemoryPlatform
-from shedsill.datagram._agent import SWEEP_INTERVAL_SECONDS
+from shedsill.datagram._agent import SWEEP_INTERVAL_SECONDS, handle_tick
 from shedsill.datagram._agent_state import AgentFlow, AgentState, Phase
 from shedsill.datagram._backlog import QueuedRequest
-from shedsill.datagram._effects import Effect, ResetFlow, SendToUpstream
+from shedsill.datagram._effects import (
+    CheckUpstream,
+    Effect,
+    ResetFlow,
+    SendToUpstream,
+)
 from shedsill.datagram._events import (
     EarlierReportRead,
     Heartbeat,
     HeartbeatReceived,
+    Tick,
+    UpstreamChecked,
     UpstreamLeaving,
 )
 from shedsill.datagram._messages import Role, UpstreamState
@@ -27,6 +34,7 @@
 from shedsill.datagram._upstream import (
     BOOT_SILENCE_SECONDS,
     FIRST_SERIAL,
+    handle_check_result,
     handle_earlier_report,
     handle_heartbeat,
     handle_leave,
@@ -488,3 +496,20 @@
             ("i-3/300", 6), earlier=("i-3", "i-2"), read_after=read_after
         )
         assert not state.knows_all_flows
+
+
+def test_refusal_of_a_check_begun_before_a_restart_ends_no_flow_of_the_next_boot(
+    agent: AgentState,
+) -> None:
+    """A process without CPU judges the check only after the upstream has restarted."""
+    agent.unanswered_since = 1.0
+    assert CheckUpstream() in handle_tick(agent, Tick(now=1.5))
+    send_heartbeat(agent, "i-3", FIRST_SERIAL, 1.6)
+    agent.flows[b"new"] = AgentFlow(
+        phase=Phase.OPEN, last_packet_at=1.7, balancer="10.0.0.1", taken_at=1.7
+    )
+    agent.unanswered_since = 1.75
+    checked = UpstreamChecked(open=False, refused=True, now=1.8)
+    effects = handle_check_result(agent, checked)
+    assert not [effect for effect in effects if isinstance(effect, ResetFlow)]
+    assert list(agent.flows) == [b"new"]
