--- a/shedsill/platform/heartbeats.py
+++ b/shedsill/platform/heartbeats.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Annotated
+from typing import Annotated, Literal
 
 import msgspec
 from msgspec import Struct
@@ -27,14 +27,18 @@
     ----------
     cold_left_ms : int
         Remaining time for which the upstream is slow after its start.
+    service, addr : str
+        Service and address of the upstream.
     seq : int
         Increases with each call of one boot.
     born : int
         Unix time of the boot's start in milliseconds; 0 if missing.
     """
 
+    service: str
+    addr: str
     seq: int
-    state: UpstreamState
+    state: Literal["ready", "draining"]
     slots: int
     cold_left_ms: int = 0
     born: Milliseconds = 0
@@ -51,7 +55,18 @@
 
 
 class InstanceCalls:
-    """Implements `shedsill.datagram.adapter.HeartbeatCodec`."""
+    """Implements `shedsill.datagram.adapter.HeartbeatCodec`.
+
+    Parameters
+    ----------
+    service, address : str
+        Service and address of the upstream whose calls are decoded; a heartbeat of
+        another one is invalid.  Empty for any.
+    """
+
+    def __init__(self, *, service: str = "", address: str = "") -> None:
+        self._service = service
+        self._address = address
 
     def decode_call(
         self, method: str, path: str, body: bytes, now: float
@@ -64,7 +79,7 @@
         try:
             match method:
                 case "PUT":
-                    return _decode_heartbeat(name, body)
+                    return self._decode_heartbeat(name, body)
                 case "DELETE":
                     leave = _LEAVE_DECODER.decode(body or b"{}")
                     boot = format_boot(name, leave.born)
@@ -73,13 +88,16 @@
             raise DecodeError(f"invalid call of an upstream: {error}") from error
         return None
 
-
-def _decode_heartbeat(name: str, body: bytes) -> Heartbeat:
-    call = _BEAT_DECODER.decode(body)
-    return Heartbeat(
-        boot=format_boot(name, call.born),
-        serial=call.seq,
-        state=call.state,
-        slots=call.slots,
-        cold=call.cold_left_ms / 1000,
-    )
+    def _decode_heartbeat(self, name: str, body: bytes) -> Heartbeat:
+        call = _BEAT_DECODER.decode(body)
+        if call.service != (self._service or call.service):
+            raise DecodeError(f"heartbeat of another service: {call.service!r}")
+        if call.addr != (self._address or call.addr):
+            raise DecodeError(f"heartbeat of another upstream: {call.addr!r}")
+        return Heartbeat(
+            boot=format_boot(name, call.born),
+            serial=call.seq,
+            state=UpstreamState(call.state),
+            slots=call.slots,
+            cold=call.cold_left_ms / 1000,
+        )
--- a/shedsill/platform/node.py
+++ b/shedsill/platform/node.py
@@ -45,7 +45,9 @@
                 source=file,
                 codec=HeaderCodec(),
                 platform=store,
-                heartbeats=InstanceCalls(),
+                heartbeats=InstanceCalls(
+                    service=settings.node.service, address=str(settings.node.upstream)
+                ),
             )
 
 
--- a/shedsill/tests/test_platform_settings.py
+++ b/shedsill/tests/test_platform_settings.py
@@ -195,6 +195,29 @@
     assert calls.decode_call("PUT", "/elsewhere", b"{}", 5.0) is None
 
 
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"service": "b"},
+        {"addr": "10.0.0.2:1"},
+        {"state": "gone"},
+        {"state": "unheard"},
+        {"service": None},
+        {"addr": 7},
+        {"born": "yesterday"},
+        {"born": -1},
+    ],
+)
+def test_heartbeat_of_another_writer_is_refused(changes: dict) -> None:
+    """It was taken for one of the upstream's next boot, and ended all flows."""
+    calls = InstanceCalls(service="a", address="10.0.0.1:1")
+    path, body = "/-/instances/i-1", json.dumps(HEARTBEAT).encode()
+    assert isinstance(calls.decode_call("PUT", path, body, 5.0), Heartbeat)
+    with pytest.raises(DecodeError):
+        body = json.dumps({**HEARTBEAT, **changes}).encode()
+        calls.decode_call("PUT", path, body, 5.0)
+
+
 @given(st.binary(max_size=200))
 def test_arbitrary_heartbeat_body_is_decoded_or_rejected(body: bytes) -> None:
     try:
