--- a/properties/soak.py
+++ b/properties/soak.py
@@ -7,7 +7,9 @@
 
 Callers send requests while faults overlap, half of them several requests per flow.
 The simulated callers and upstreams check that each packet is unchanged and reaches
-the right service, and that no flow is reset whose upstream and VMs were undisturbed.
+the right service, that no SYN reaches an upstream 3 s after its end was confirmed, and
+that no flow is reset whose upstream and VMs were undisturbed.  In runs with an even
+seed the upstreams bounce copies of SYNs that they have answered.
 At the end all faults are removed; then every new request must be answered, and no
 request may have run on two upstreams.
 
@@ -195,7 +197,11 @@
     async def run() -> tuple[list[str], list[str], int]:
         links = Links(generator=random.Random(seed))
         async with Deployment(
-            folder, SERVICES, links=links, program=program
+            folder,
+            SERVICES,
+            links=links,
+            program=program,
+            bounces_syn_copies=seed % 2 == 0,
         ) as deployment:
             injector = FaultInjector(
                 deployment=deployment,
--- a/properties/soak_faults.py
+++ b/properties/soak_faults.py
@@ -67,6 +67,7 @@
             self.kill_node,
             self.freeze_node,
             self.crash_upstream,
+            self.restart_upstream_under_its_id,
             self.flap_upstream,
             self.replace_upstream,
             self.degrade_store,
@@ -118,6 +119,17 @@
         await asyncio.sleep(duration)
         await self.deployment.start_upstream(host, self.agents[host])
 
+    async def restart_upstream_under_its_id(
+        self, host: str, duration: float, generator: random.Random
+    ) -> None:
+        host = generator.choice(list(self.agents))
+        self.deployment.record_fault(host, duration)
+        upstream = self.deployment.upstreams[host]
+        upstream.crash()
+        await asyncio.sleep(duration)
+        if upstream is self.deployment.upstreams[host]:
+            await self.deployment.restart_upstream(host, self.agents[host])
+
     async def drain_upstream(
         self, host: str, duration: float, generator: random.Random
     ) -> None:
--- a/shedsill/testing/deployment.py
+++ b/shedsill/testing/deployment.py
@@ -16,6 +16,7 @@
 import socket
 import struct
 import sys
+import time
 from collections.abc import Callable
 
 import aiohttp
@@ -94,6 +95,8 @@
         Proxies between the nodes and in front of the store; None for direct traffic.
     ended_upstreams : list of Upstream
         Upstreams that were replaced by a later boot.
+    bounces_syn_copies : bool
+        Whether upstreams bounce a SYN of a flow that they hold or were offered.
     program : tuple of str
         Module run as a node, and arguments that precede the role.
     """
@@ -108,6 +111,7 @@
     errors: list[Exception] = field(factory=list)
     links: Links | None = None
     ended_upstreams: list[Upstream] = field(factory=list)
+    bounces_syn_copies: bool = False
     program: tuple[str, ...] = ("shedsill.platform",)
     table_version: int = 0
     disturbed_until: dict[str, float] = field(factory=dict)
@@ -332,6 +336,14 @@
 
     # Upstreams
 
+    async def restart_upstream(self, host: str, service: str) -> Upstream:
+        """Start the upstream of a VM again under its ID."""
+        boot = self.upstreams[host].boot
+        upstream = await self.start_upstream(host, service)
+        upstream.boot = boot
+        upstream.started_ms = round(time.time() * 1000)
+        return upstream
+
     async def start_upstream(self, host: str, service: str) -> Upstream:
         """Start the upstream of a VM with a new boot ID."""
         self._boot_count += 1
@@ -361,6 +373,7 @@
             boot=f"i-{self._boot_count}",
             send=send,
             schedule=self._schedule,
+            bounces_syn_copies=self.bounces_syn_copies,
             is_disturbed=lambda: self._is_disturbed(host),
         )
         return self.upstreams[host]
@@ -405,6 +418,8 @@
             "cold_left_ms": 0,
             "seq": serial,
         }
+        if upstream.started_ms:
+            body["born"] = upstream.started_ms
         address = f"{upstream.host}:{self.ports['control']}"
         url = f"http://{address}/-/instances/{upstream.boot}"
         async with self._http.put(url, json=body) as response:
@@ -418,7 +433,8 @@
         upstream = self.upstreams[host]
         address = f"{host}:{self.ports['control']}"
         url = f"http://{address}/-/instances/{upstream.boot}"
-        async with self._http.delete(url) as response:
+        body = {"born": upstream.started_ms} if upstream.started_ms else {}
+        async with self._http.delete(url, json=body) as response:
             if response.status == 200:
                 upstream.handle_confirmation()
             return response.status
