--- a/shedsill/datagram/_upstream.py
+++ b/shedsill/datagram/_upstream.py
@@ -194,7 +194,7 @@
         record_crash(state.health, now)
     probes = _verify_open_flows(state)
     resets = reset_flows(
-        state, "upstream restarted", now, taken_until=alive_at, unverified=False
+        state, "upstream restarted", now, taken_until=alive_at, include_unverified=False
     )
     return [*resets, *probes]
 
@@ -274,9 +274,8 @@
     log_entry = WriteLog(event=LogEvent.EARLIER_REPORT, fields=fields)
     if earlier.state != UpstreamState.DRAINING:
         return [log_entry]
-    boot = state.report.boot or earlier.boot
-    if not may_be_same_boot(boot, earlier.boot):
-        boot = earlier.boot
+    is_current = may_be_same_boot(state.report.boot, earlier.boot)
+    boot = state.report.boot if is_current else earlier.boot
     return [log_entry, *_restore_drain(state, boot, event.now)]
 
 
@@ -322,7 +321,7 @@
     now: float,
     *,
     taken_until: float = math.inf,
-    unverified: bool = True,
+    include_unverified: bool = True,
 ) -> list[Effect]:
     """Reset the open flows of a boot of the upstream that has ended.
 
@@ -331,13 +330,15 @@
     taken_until : float
         When the ended boot was last known to be alive.  Flows taken later may be of
         the next boot and are kept; it bounces packets of flows that it does not hold.
-    unverified : bool
-        Whether also flows are reset that are half open or being verified.
+    include_unverified : bool
+        Whether flows that are half open or being verified are reset, too.
     """
     effects: list[Effect] = []
     for key, flow in list(state.flows.items()):
         is_verified = flow.phase == Phase.OPEN and not flow.probes_left
-        if _was_taken_after(flow, taken_until) or not (unverified or is_verified):
+        if _was_taken_after(flow, taken_until) or not (
+            include_unverified or is_verified
+        ):
             continue
         if flow.phase == Phase.OPEN and not flow.closed:
             effects.append(ResetFlow(key, flow.caller_ack))
--- a/shedsill/testing/deployment.py
+++ b/shedsill/testing/deployment.py
@@ -361,7 +361,8 @@
             outbound = (host, self.ports["outbound"])
 
             def send(data: bytes) -> None:
-                transport.sendto(data, outbound)
+                if not transport.is_closing():
+                    transport.sendto(data, outbound)
 
             self._start_task(self._run_heartbeats(host))
         else:
