--- a/shedsill/testing/mutant_node.py
+++ b/shedsill/testing/mutant_node.py
@@ -87,11 +87,24 @@
     replace_in(_agent, "HALF_OPEN_TIMEOUT_SECONDS", "soon")
 
 
+def ignore_drains(replace_in: Replace) -> None:
+    """Let agents pass SYNs to upstreams that have announced their end."""
+    replace_in(_agent_packets, "can_accept_flows", lambda _state, _now: True)
+
+
+def forget_copied_flows(replace_in: Replace) -> None:
+    """Let agents treat each copy of a SYN as the first one."""
+    replace_in(_agent_packets, "_is_syn_copy", lambda _flow, _syn: False)
+    replace_in(_agent_packets, "_is_answered", lambda _flow: False)
+
+
 MUTATIONS: dict[str, Callable[[Replace], None]] = {
     "content": corrupt_payloads,
     "service": ignore_services,
     "living-flows": deny_earlier_flows,
     "recovery": ignore_tables,
+    "drains": ignore_drains,
+    "syn-copies": forget_copied_flows,
     "processes": break_flow_expiry,
 }
 
--- a/shedsill/tests/test_mutant_node.py
+++ b/shedsill/tests/test_mutant_node.py
@@ -11,8 +11,11 @@
 from typing import Any
 
 import pytest
+from msgspec.structs import replace
 
+from shedsill.datagram._messages import UpstreamState
 from shedsill.testing.datagram_simulation import Simulation
+from shedsill.testing.flow_endpoints import DRAIN_LIMIT_SECONDS
 from shedsill.testing.mutant_node import (
     MUTATIONS,
     MutationError,
@@ -63,6 +66,28 @@
     assert state.table.version > 0
 
 
+def drain_upstream(simulation: Simulation) -> None:
+    simulation.add_agent("10.1.0.2", "dispatcher", knows_all_flows=True)
+    simulation.run(3.0)
+    assert simulation.drain_upstream("10.1.0.1")
+    simulation.run(DRAIN_LIMIT_SECONDS + 0.1)
+    # As a balancer that has not received the announcement of the drain.
+    view = simulation.nodes[BALANCERS[0]].nodes.upstreams["10.1.0.1"]
+    view.report = replace(view.report, state=UpstreamState.READY)
+    for _ in range(FLOW_COUNT):
+        simulation.add_caller("dispatcher", BALANCERS[0])
+    simulation.run(3.0)
+
+
+def repeat_syn_of_open_flow(simulation: Simulation) -> None:
+    simulation.upstreams["10.1.0.1"].bounces_syn_copies = True
+    caller = simulation.add_caller("dispatcher", BALANCERS[0], requests=4)
+    simulation.run(0.1)
+    simulation.repeat_syn(caller, BALANCERS[0])
+    simulation.run(4.0)
+    assert caller.outcome == "answered"
+
+
 def expire_unopened_flow(simulation: Simulation) -> None:
     caller = simulation.add_caller("dispatcher", BALANCERS[0])
     simulation.run(0.0025)
@@ -76,6 +101,8 @@
     "service": (serve_requests, ViolationError),
     "living-flows": (keep_flow_over_agent_restart, ViolationError),
     "recovery": (apply_table_after_restart, AssertionError),
+    "drains": (drain_upstream, ViolationError),
+    "syn-copies": (repeat_syn_of_open_flow, ViolationError),
     "processes": (expire_unopened_flow, TypeError),
 }
 
--- a/shedsill/tests/test_platform_processes.py
+++ b/shedsill/tests/test_platform_processes.py
@@ -10,7 +10,7 @@
 import pytest
 
 from shedsill.datagram._messages import UpstreamState
-from shedsill.testing.deployment import Deployment
+from shedsill.testing.deployment import HEARTBEAT_INTERVAL_SECONDS, Deployment
 
 BALANCERS = ("127.0.1.1", "127.0.1.2")
 AGENTS = {
@@ -196,3 +196,46 @@
         assert {caller.outcome for caller in callers} == {"answered"}
 
     run_scenario(tmp_path, scenario)
+
+
+def test_upstream_started_again_under_its_id_is_drained(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Its heartbeats count anew, and must not be confirmed without effect."""
+
+    async def scenario(deployment: Deployment) -> None:
+        await asyncio.sleep(5 * HEARTBEAT_INTERVAL_SECONDS)
+        deployment.upstreams[AGENT_1].crash()
+        upstream = await deployment.restart_upstream(AGENT_1, "dispatcher")
+        assert await deployment.send_heartbeat(AGENT_1, "dispatcher") == 200
+        assert await deployment.drain_upstream(AGENT_1, "dispatcher") == 200
+        callers = [deployment.add_caller("dispatcher", BALANCER_1) for _ in range(8)]
+        await deployment.wait_for_outcomes(callers)
+        assert {caller.outcome for caller in callers} == {"answered"}
+        assert not upstream.processed_flows
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_open_flows_survive_bounced_copies_of_their_syns(
+    tmp_path: pathlib.Path,
+) -> None:
+    """The agent forgot the flow, and a balancer reset it."""
+
+    async def scenario(deployment: Deployment) -> None:
+        for upstream in deployment.upstreams.values():
+            upstream.bounces_syn_copies = True
+        callers = [
+            deployment.add_caller("dispatcher", BALANCER_1, requests=4)
+            for _ in range(6)
+        ]
+        while not all(caller.is_open for caller in callers):
+            await asyncio.sleep(0.001)
+        for caller in callers:
+            for balancer in (BALANCER_2, BALANCER_1):
+                deployment.balancer_by_flow[caller.flow] = balancer
+                caller.repeat_syn()
+        await deployment.wait_for_outcomes(callers)
+        assert {caller.outcome for caller in callers} == {"answered"}
+
+    run_scenario(tmp_path, scenario)
