--- a/shedsill/datagram/_balancer.py
+++ b/shedsill/datagram/_balancer.py
@@ -190,7 +190,10 @@
             return _flow_placement.handle_flow_taken(state, message, source, now)
         case Located():
             _record_load(state, source, message, now)
-            return _flow_search.handle_located(state, message, source, now)
+            return [
+                *_flow_search.handle_located(state, message, source, now),
+                *_flow_placement.handle_located(state, message, source, now),
+            ]
         case PacketReturned():
             _record_load(state, source, message, now)
             assert returned is not None
--- a/shedsill/datagram/_balancer_state.py
+++ b/shedsill/datagram/_balancer_state.py
@@ -50,6 +50,12 @@
         Agents that have returned the SYN.
     overloaded_count : int
         Number of agents that returned the SYN because of overload.
+    began_with_copy : bool
+        Whether this balancer has not seen the caller's first SYN; another one may have
+        placed the flow.
+    possible_holders : set of str or None
+        Agents that were asked whether they hold the flow, and have not denied it;
+        None if none was asked.
     syn : Packet or None
         The SYN, until an upstream has answered it.
     offered_at : float
@@ -72,6 +78,8 @@
     boot_by_host: dict[str, str] = field(default_factory=dict)
     refused_by: set[str] = field(default_factory=set)
     overloaded_count: int = 0
+    began_with_copy: bool = False
+    possible_holders: set[str] | None = None
     syn: Packet | None = None
     offered_at: float = 0.0
     caller_ack: int = 0
--- a/shedsill/datagram/_flow_placement.py
+++ b/shedsill/datagram/_flow_placement.py
@@ -4,7 +4,7 @@
 
 from shedsill._catalogue import LogEvent
 from shedsill._common_effects import WriteLog
-from shedsill.datagram import _failure_detection, _report_polling
+from shedsill.datagram import _failure_detection, _flow_search, _report_polling
 from shedsill.datagram._balancer_state import (
     BalancerFlow,
     BalancerState,
@@ -12,7 +12,7 @@
 )
 from shedsill.datagram._effects import Effect, ObserveLatency, ResetFlow
 from shedsill.datagram._forwarding_table import Route, choose_service
-from shedsill.datagram._messages import FlowTaken, ReturnReason
+from shedsill.datagram._messages import FlowTaken, Located, ReturnReason
 from shedsill.datagram._packet import Packet, is_ack_in_window
 from shedsill.datagram._selection import REFUSAL_BACKOFF_SECONDS, choose_upstream
 
@@ -27,6 +27,9 @@
 """Overloaded upstreams after which a SYN is refused; the least loaded ones come first,
 and load is spread evenly."""
 
+CALLER_TIMEOUT_SECONDS = 1.4
+"""Time after which callers give up a SYN without an answer."""
+
 MAX_FLOWS = 200_000
 """Maximum number of known flows; a dropped flow is found again by a search."""
 
@@ -36,7 +39,13 @@
 ) -> list[Effect]:
     """Offer a new flow to an upstream."""
     service = choose_service(route, packet.flow)
-    flow = BalancerFlow(service=service, last_packet_at=now, started_at=now, syn=packet)
+    flow = BalancerFlow(
+        service=service,
+        last_packet_at=now,
+        started_at=now,
+        syn=packet,
+        began_with_copy=packet.copy > 0,
+    )
     if len(state.flows) >= MAX_FLOWS:
         state.flows.pop(next(iter(state.flows)))
     state.flows[packet.flow] = flow
@@ -64,7 +73,7 @@
         )
     flow.offered_at = now
     if view is None:
-        return _handle_no_candidate(state, flow, packet)
+        return _handle_no_candidate(state, flow, packet, now)
     flow.offered[view.report.host] = None
     view.recent_offers.append(now)
     fields = {
@@ -84,12 +93,13 @@
 
 
 def _handle_no_candidate(
-    state: BalancerState, flow: BalancerFlow, packet: Packet
+    state: BalancerState, flow: BalancerFlow, packet: Packet, now: float
 ) -> list[Effect]:
     """Reset a new flow that no upstream can accept.
 
     The flow is kept while an upstream that was offered the SYN may still answer, while
-    no upstream of the service is known, and until the list of agents is recent.
+    no upstream of the service is known, and until the list of agents is recent.  If
+    another balancer may have placed it, it is kept until no agent can hold it.
     """
     upstreams = state.nodes.list_service_upstreams(flow.service)
     fields = {
@@ -103,6 +113,8 @@
     if not _report_polling.is_recent(state.polling, state.last_tick_at):
         read_effects = _report_polling.request_read(state.polling, state.last_tick_at)
         return [WriteLog(event=LogEvent.NO_CANDIDATE, fields=fields), *read_effects]
+    if flow.began_with_copy and _ask_possible_holders(state, flow, packet.flow, now):
+        return [WriteLog(event=LogEvent.NO_CANDIDATE, fields=fields)]
     state.flows.pop(packet.flow, None)
     state.pending_flows.pop(packet.flow, None)
     return [
@@ -111,6 +123,59 @@
     ]
 
 
+def _ask_possible_holders(
+    state: BalancerState, flow: BalancerFlow, key: bytes, now: float
+) -> bool:
+    """Ask the agents that may hold an open flow; return whether there are any.
+
+    An agent that has returned the SYN does not hold it.  The others are asked until the
+    caller has given up.
+    """
+    live = {
+        view.report.host
+        for view in state.nodes.list_service_upstreams(flow.service)
+        if not view.lost
+    }
+    if flow.possible_holders is None:
+        flow.possible_holders = live - flow.refused_by
+    flow.possible_holders &= live
+    if now - flow.started_at < CALLER_TIMEOUT_SECONDS:
+        _flow_search.queue_locate(state, key, flow.possible_holders)
+    else:
+        state.pending_flows.pop(key, None)
+    return bool(flow.possible_holders)
+
+
+def handle_located(
+    state: BalancerState, located: Located, host: str, now: float
+) -> list[Effect]:
+    """Assign flows of which only a copy of the SYN was seen, or reject them."""
+    effects: list[Effect] = []
+    for key in located.held:
+        flow = state.flows.get(key)
+        if flow is None or flow.syn is None or not _may_be_held(flow, host):
+            continue
+        # The caller may have missed the upstream's answer to the first SYN.
+        effects.append(forward_packet(state, host, flow.service, flow.syn))
+        state.pending_flows.pop(key, None)
+        _assign_host(state, flow, host)
+        flow.boot = located.boot
+    for key in located.unknown:
+        flow = state.flows.get(key)
+        if flow is None or not _may_be_held(flow, host):
+            continue
+        assert flow.possible_holders is not None
+        flow.possible_holders.discard(host)
+        if not flow.possible_holders and flow.syn is not None:
+            effects += _handle_no_candidate(state, flow, flow.syn, now)
+    return effects
+
+
+def _may_be_held(flow: BalancerFlow, host: str) -> bool:
+    asked = flow.possible_holders
+    return not flow.host and asked is not None and host in asked
+
+
 def handle_repeated_syn(
     state: BalancerState,
     flow: BalancerFlow,
--- a/shedsill/datagram/_flow_search.py
+++ b/shedsill/datagram/_flow_search.py
@@ -70,11 +70,12 @@
     other_hosts = set(hosts).difference(first_hosts)
     search = _search_state.create_search(caller_ack, first_hosts, other_hosts, now)
     state.searches[key] = search
-    _queue_locate(state, key, first_hosts)
+    queue_locate(state, key, first_hosts)
     return search
 
 
-def _queue_locate(state: BalancerState, key: bytes, hosts: Iterable[str]) -> None:
+def queue_locate(state: BalancerState, key: bytes, hosts: Iterable[str]) -> None:
+    """Ask agents about a flow once the sockets are drained."""
     for host in hosts:
         state.pending_locates.setdefault(host, []).append(key)
 
@@ -92,7 +93,7 @@
         search.pending_hosts = set(_list_live_hosts(state))
     search.pending_hosts |= search.deferred_hosts
     search.deferred_hosts = set()
-    _queue_locate(state, key, search.pending_hosts)
+    queue_locate(state, key, search.pending_hosts)
     return conclude_search(state, key, search)
 
 
@@ -144,7 +145,7 @@
 
 def verify_flow(state: BalancerState, key: bytes, flow: BalancerFlow) -> None:
     """Ask a flow's agent whether it still holds the flow."""
-    _queue_locate(state, key, (flow.host,))
+    queue_locate(state, key, (flow.host,))
 
 
 def _resolve_unverified(
@@ -225,7 +226,7 @@
         return []
     if search.deferred_hosts:
         search.pending_hosts, search.deferred_hosts = search.deferred_hosts, set()
-        _queue_locate(state, key, search.pending_hosts)
+        queue_locate(state, key, search.pending_hosts)
         return []
     if search.unsure_hosts:
         return _try_next_hosts(state, key, search)
@@ -370,7 +371,7 @@
     """Ask a newly known agent about all flows that are being searched for."""
     for key, search in state.searches.items():
         search.pending_hosts.add(host)
-        _queue_locate(state, key, (host,))
+        queue_locate(state, key, (host,))
 
 
 def remove_host_from_searches(state: BalancerState, host: str) -> list[Effect]:
--- a/shedsill/tests/test_datagram_syn_copies.py
+++ b/shedsill/tests/test_datagram_syn_copies.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import pytest
 from msgspec.structs import replace
 
+from shedsill.datagram import _slots
 from shedsill.datagram._agent_packets import (
     handle_forwarded_packet,
     handle_upstream_packet,
@@ -16,7 +19,7 @@
 from shedsill.datagram._packet import ACK, BOUNCED, SYN, Packet
 from shedsill.datagram._selection import hash_service
 from shedsill.testing.agents import make_agent_state
-from shedsill.testing.datagram_simulation import Simulation
+from shedsill.testing.datagram_simulation import LATENCY_SECONDS, Simulation
 from shedsill.testing.flow_endpoints import CODEC, FLAG_BITS, make_packet
 
 SERVICE = "dispatcher"
@@ -49,6 +52,68 @@
     assert caller.outcome == "answered"
 
 
+def drain(simulation: Simulation, monkeypatch: pytest.MonkeyPatch) -> None:
+    simulation.drain_upstream(AGENT)
+
+
+def drain_and_restart_agent(
+    simulation: Simulation, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    simulation.drain_upstream(AGENT)
+    simulation.kill(AGENT)
+    simulation.add_agent(AGENT, SERVICE)
+
+
+def refuse_flows(simulation: Simulation, monkeypatch: pytest.MonkeyPatch) -> None:
+    simulation.nodes[AGENT].refused_until = simulation.now + 1.0
+
+
+def overload_all(simulation: Simulation, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Have more overloaded agents than a SYN is offered to."""
+    for number in range(2, 9):
+        host = f"10.1.0.{number}"
+        simulation.add_agent(host, SERVICE, knows_all_flows=True)
+    monkeypatch.setattr(_slots, "can_answer_in_time", lambda *_arguments: False)
+    simulation.run(0.1)
+
+
+@pytest.mark.parametrize(
+    "change", [drain, drain_and_restart_agent, refuse_flows, overload_all]
+)
+def test_copy_of_open_flow_that_no_upstream_takes_does_not_end_it(
+    simulation: Simulation,
+    monkeypatch: pytest.MonkeyPatch,
+    change: Callable[[Simulation, pytest.MonkeyPatch], None],
+) -> None:
+    """A balancer that had not seen the first SYN reset the flow."""
+    caller = simulation.add_caller(SERVICE, BALANCER, requests=6)
+    simulation.run(0.1)
+    assert caller.is_open
+    change(simulation, monkeypatch)
+    simulation.run(0.01)
+    simulation.repeat_syn(caller, OTHER_BALANCER)
+    simulation.balancer_by_flow[caller.flow] = OTHER_BALANCER
+    simulation.run(4.0)
+    assert caller.outcome == "answered"
+
+
+@pytest.mark.parametrize("copy", [0, 1])
+def test_syn_that_no_upstream_takes_is_rejected_at_once(
+    simulation: Simulation, copy: int
+) -> None:
+    """Its caller can try again sooner; for a copy, all agents are asked first."""
+    simulation.drain_upstream(AGENT)
+    simulation.run(0.01)
+    caller = simulation.add_caller(SERVICE, BALANCER)
+    if copy:
+        simulation.balancer_by_flow[caller.flow] = OTHER_BALANCER
+        simulation.run(0.0005)
+        simulation.nodes[BALANCER].flows.pop(caller.flow, None)
+        caller.repeat_syn()
+    simulation.run(6 * LATENCY_SECONDS)
+    assert caller.outcome == "reset"
+
+
 @pytest.fixture
 def agent() -> AgentState:
     """An agent that has passed a SYN to its upstream."""
