--- a/shedsill/testing/datagram_simulation.py
+++ b/shedsill/testing/datagram_simulation.py
@@ -146,6 +146,8 @@
     table: ForwardingTable = field(factory=ForwardingTable)
     log_entries: list[tuple[str, WriteLog]] = field(factory=list)
     message_counts: collections.Counter = field(factory=collections.Counter)
+    _pending_reports: dict[str, NodeReport] = field(factory=dict)
+    _reports_read: set[tuple[int, int]] = field(factory=set)
     _queue: list = field(factory=list)
     _sequence: itertools.count = field(factory=itertools.count)
 
@@ -477,9 +479,7 @@
             case ResetFlow(flow=flow, seq=seq):
                 self._send_to_caller(host, CODEC.encode_reset(flow, seq))
             case StoreReport(report=report) if self.store_available:
-                self._report_earlier_incarnation(host, report, at_start=False)
-                self.stored_reports[report.host] = report
-                self._notify_watchers(report, removed=False)
+                self._write_report(report)
             case RemoveReport(report=report) | RemovePeerReport(report=report) if (
                 self.store_available
             ):
@@ -507,14 +507,50 @@
             case WriteLog():
                 self.log_entries.append((host, effect))
 
+    def _write_report(self, report: NodeReport) -> None:
+        """Write a report conditionally: it conflicts with one that was not read yet."""
+        self._pending_reports[report.host] = report
+        if self._report_earlier_incarnation(report.host, report, at_start=False):
+            self._schedule(LATENCY_SECONDS, lambda: self._retry_write(report))
+        else:
+            self._store_report(report)
+
+    def _retry_write(self, refused: NodeReport) -> None:
+        """Write a node's latest report, unless the node was restarted."""
+        report = self._pending_reports[refused.host]
+        state = self.nodes.get(refused.host)
+        is_running = (
+            state is not None and state.report.incarnation == report.incarnation
+        )
+        if is_running and self.store_available:
+            self._store_report(report)
+
+    def _store_report(self, report: NodeReport) -> None:
+        self.stored_reports[report.host] = report
+        self._notify_watchers(report, removed=False)
+
     def _report_earlier_incarnation(
         self, host: str, report: NodeReport, *, at_start: bool
-    ) -> None:
-        """Send a node the report its previous incarnation left in the store."""
+    ) -> bool:
+        """Send a node the report its previous incarnation left, if it has not read it.
+
+        Returns whether there is such a report.
+        """
         earlier = self.stored_reports.get(host)
-        if earlier is not None and earlier.incarnation != report.incarnation:
-            read = EarlierReportRead(report=earlier, at_start=at_start, now=self.now)
-            self._schedule(LATENCY_SECONDS, lambda: self._dispatch(host, read))
+        if earlier is None or earlier.incarnation == report.incarnation:
+            return False
+        if (report.incarnation, earlier.incarnation) in self._reports_read:
+            return False
+        read = EarlierReportRead(report=earlier, at_start=at_start, now=self.now)
+
+        def deliver() -> None:
+            self._reports_read.add((report.incarnation, earlier.incarnation))
+            state = self.nodes.get(host)
+            if state is not None and state.report.incarnation == report.incarnation:
+                self._dispatch(host, read)
+
+        self._schedule(LATENCY_SECONDS, deliver)
+        return True
 
     def _send_to_caller(self, host: str, data: bytes) -> None:
         if host not in self.partitioned_hosts:
--- a/shedsill/tests/test_datagram_heartbeats.py
+++ b/shedsill/tests/test_datagram_heartbeats.py
@@ -513,3 +513,19 @@
     effects = handle_check_result(agent, checked)
     assert not [effect for effect in effects if isinstance(effect, ResetFlow)]
     assert list(agent.flows) == [b"new"]
+
+
+def test_boot_of_late_heartbeat_does_not_stay_in_the_store(
+    simulation: Simulation,
+) -> None:
+    """An agent killed then would have its successor deny flows of the living boot."""
+    earlier, current = restart_under_its_id(simulation)
+    simulation.run(1.0)
+    simulation.kill("10.1.0.1")
+    simulation.first_heartbeat_delay = 1.0
+    simulation.add_agent("10.1.0.1", "dispatcher")
+    serial = earlier.heartbeat_serial + 1
+    simulation.send_heartbeat_of(earlier, serial=serial, state=UpstreamState.READY)
+    simulation.run(0.1)
+    assert simulation.nodes["10.1.0.1"].report.boot == ""
+    assert simulation.stored_reports["10.1.0.1"].boot == current.boot_name
