--- a/properties/soak.py
+++ b/properties/soak.py
@@ -36,6 +36,7 @@
 from properties.soak_faults import SERVICES, FaultInjector
 from shedsill.datagram._messages import UpstreamState
 from shedsill.testing.deployment import Deployment
+from shedsill.testing.flow_endpoints import Caller
 from shedsill.testing.links import Links
 from shedsill.testing.mutant_node import MUTATIONS
 
@@ -47,6 +48,9 @@
 LONG_FLOW_SHARE = 0.5
 """Share of callers that send several requests on one flow."""
 REQUESTS_PER_LONG_FLOW = 12
+REPEATED_SYN_SHARE = 0.2
+"""Share of callers of whose SYN a late copy reaches any balancer."""
+MAX_COPY_DELAY_SECONDS = 0.5
 REMAP_SHARE = 0.3
 """Share of flows that the routers move to another balancer."""
 NODE_PROGRAM = ("shedsill.platform",)
@@ -109,6 +113,8 @@
             caller = self.deployment.add_caller(service, balancer, requests=requests)
             if generator.random() < REMAP_SHARE:
                 self._remap_flow(caller.flow, generator)
+            if generator.random() < REPEATED_SYN_SHARE:
+                self._repeat_syn(caller, generator)
             await asyncio.sleep(1 / CALLS_PER_SECOND)
 
     def _remap_flow(self, flow: bytes, generator: random.Random) -> None:
@@ -119,6 +125,14 @@
             lambda: self.deployment.balancer_by_flow.update({flow: other}),
         )
 
+    def _repeat_syn(self, caller: Caller, generator: random.Random) -> None:
+        """Deliver a copy of a SYN late, through any balancer."""
+        balancer = generator.choice(self.injector.balancers)
+        asyncio.get_running_loop().call_later(
+            generator.uniform(0.0, MAX_COPY_DELAY_SECONDS),
+            lambda: self.deployment.repeat_syn(caller, balancer),
+        )
+
     def _start_fault(self, generator: random.Random) -> None:
         fault = generator.choice(self.injector.list_faults())
         duration = generator.uniform(*FAULT_DURATION_SECONDS)
--- a/properties/soak_faults.py
+++ b/properties/soak_faults.py
@@ -17,6 +17,7 @@
 
 from shedsill.datagram._messages import UpstreamState
 from shedsill.testing.deployment import STORE_HOST, Deployment
+from shedsill.testing.flow_endpoints import DRAIN_LIMIT_SECONDS
 from shedsill.testing.links import LinkFault, Links
 
 SERVICES = ("dispatcher", "intake")
@@ -137,7 +138,7 @@
         host = generator.choice(list(self.agents))
         upstream = self.deployment.upstreams[host]
         upstream.state = UpstreamState.DRAINING
-        await asyncio.sleep(duration)
+        await asyncio.sleep(DRAIN_LIMIT_SECONDS + duration)
         if upstream is not self.deployment.upstreams[host] or not upstream.alive:
             return
         with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
--- a/shedsill/testing/deployment.py
+++ b/shedsill/testing/deployment.py
@@ -478,6 +478,13 @@
         caller.open_flow()
         return caller
 
+    def repeat_syn(self, caller: Caller, balancer: str) -> None:
+        """Deliver a copy of a caller's SYN through a balancer."""
+        own = self.balancer_by_flow[caller.flow]
+        self.balancer_by_flow[caller.flow] = balancer
+        caller.repeat_syn()
+        self.balancer_by_flow[caller.flow] = own
+
     def record_fault(self, host: str, seconds: float) -> None:
         """Tolerate resets through a VM during a fault and its recovery."""
         until = asyncio.get_running_loop().time() + seconds + FAULT_RECOVERY_SECONDS
--- a/shedsill/testing/mutant_node.py
+++ b/shedsill/testing/mutant_node.py
@@ -15,8 +15,16 @@
 
 from msgspec.structs import replace
 
-from shedsill.datagram import _agent, _agent_packets, _agent_state, _balancer
+from shedsill.datagram import (
+    _agent,
+    _agent_packets,
+    _agent_state,
+    _balancer,
+    _upstream,
+)
 from shedsill.datagram._failure_detection import Nodes
+from shedsill.datagram._messages import UpstreamState
+from shedsill.datagram._runtime import agent as _runtime_agent
 from shedsill.platform.node import main
 from shedsill.platform.packets import HeaderCodec
 
@@ -87,9 +95,11 @@
     replace_in(_agent, "HALF_OPEN_TIMEOUT_SECONDS", "soon")
 
 
-def ignore_drains(replace_in: Replace) -> None:
-    """Let agents pass SYNs to upstreams that have announced their end."""
-    replace_in(_agent_packets, "can_accept_flows", lambda _state, _now: True)
+def confirm_without_effect(replace_in: Replace) -> None:
+    """Let agents confirm the end of an upstream and go on using it."""
+    for module in (_upstream, _agent_packets):
+        replace_in(module, "get_serving_state", lambda _state: UpstreamState.READY)
+    replace_in(_runtime_agent, "is_confirmed", lambda _state, _call: True)
 
 
 def forget_copied_flows(replace_in: Replace) -> None:
@@ -103,7 +113,7 @@
     "service": ignore_services,
     "living-flows": deny_earlier_flows,
     "recovery": ignore_tables,
-    "drains": ignore_drains,
+    "drains": confirm_without_effect,
     "syn-copies": forget_copied_flows,
     "processes": break_flow_expiry,
 }
--- a/shedsill/tests/test_mutant_node.py
+++ b/shedsill/tests/test_mutant_node.py
@@ -11,9 +11,7 @@
 from typing import Any
 
 import pytest
-from msgspec.structs import replace
 
-from shedsill.datagram._messages import UpstreamState
 from shedsill.testing.datagram_simulation import Simulation
 from shedsill.testing.flow_endpoints import DRAIN_LIMIT_SECONDS
 from shedsill.testing.mutant_node import (
@@ -69,11 +67,9 @@
 def drain_upstream(simulation: Simulation) -> None:
     simulation.add_agent("10.1.0.2", "dispatcher", knows_all_flows=True)
     simulation.run(3.0)
-    assert simulation.drain_upstream("10.1.0.1")
+    simulation.drain_upstream("10.1.0.1")
+    simulation.upstreams["10.1.0.1"].handle_confirmation()
     simulation.run(DRAIN_LIMIT_SECONDS + 0.1)
-    # As a balancer that has not received the announcement of the drain.
-    view = simulation.nodes[BALANCERS[0]].nodes.upstreams["10.1.0.1"]
-    view.report = replace(view.report, state=UpstreamState.READY)
     for _ in range(FLOW_COUNT):
         simulation.add_caller("dispatcher", BALANCERS[0])
     simulation.run(3.0)
--- a/shedsill/tests/test_platform_processes.py
+++ b/shedsill/tests/test_platform_processes.py
@@ -233,8 +233,7 @@
             await asyncio.sleep(0.001)
         for caller in callers:
             for balancer in (BALANCER_2, BALANCER_1):
-                deployment.balancer_by_flow[caller.flow] = balancer
-                caller.repeat_syn()
+                deployment.repeat_syn(caller, balancer)
         await deployment.wait_for_outcomes(callers)
         assert {caller.outcome for caller in callers} == {"answered"}
 
