--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -22,6 +22,7 @@
 import time
 import urllib.parse
 from collections.abc import Awaitable, Callable
+from typing import NamedTuple
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
@@ -38,6 +39,8 @@
 OPEN_LIMIT_S = 1.4
 HEARTBEAT_S = 1.2
 REPEAT_CALL_S = (0.03, 0.06, 0.12, 0.24)
+CHECK_INTERVAL_S = 0.5
+MISSED_CHECKS = 2
 PORT_NAMES = ("packets", "messages", "ready", "control", "app", "outbound", "metrics")
 
 
@@ -352,7 +355,7 @@
         body = {
             "service": self.service,
             "addr": f"{self.host}:{self.world.ports['app']}",
-            "zone": "z1",
+            "zone": self.world.zones.get(self.host, "z1"),
             "version": "v1",
             "slots": self.slots,
             "state": self.state,
@@ -523,7 +526,8 @@
     def _send(self, flags: int, **fields) -> None:
         data = make_packet(self.source, self.target, flags, **fields)
         balancer = self.choose_balancer()
-        self.world.consumer_socket.sendto(data, (balancer, self.world.ports["packets"]))
+        address = (balancer, self.world.get_node_ports(balancer).packets)
+        self.world.consumer_socket.sendto(data, address)
 
     def _end(self, outcome: str) -> None:
         self.outcome = outcome
@@ -555,11 +559,99 @@
             self._answered.set()
 
 
+class NodePorts(NamedTuple):
+    """Ports at which other nodes and consumers reach a node."""
+
+    packets: int
+    messages: int
+
+
+class Links:
+    """Proxies between nodes, so that a case can cut the path between two of them.
+
+    A node sends to its own port numbers at every receiver.  With links, each node has
+    port numbers of its own; a proxy listens at the receiver's address and the sender's
+    port, and forwards from the sender's address to the receiver's port.
+    """
+
+    def __init__(self) -> None:
+        self.cut: set[frozenset[str]] = set()
+        self.ports: dict[str, NodePorts] = {}
+        self._senders: dict[str, socket.socket] = {}
+
+    async def add_node(self, host: str) -> None:
+        """Open the proxies between a new node and the others."""
+        if host in self.ports:
+            return
+        self.ports[host] = NodePorts(*_find_ports(2))
+        sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sender.setblocking(False)
+        sender.bind((host, 0))
+        self._senders[host] = sender
+        for other in self.ports:
+            if other != host:
+                await self._open(host, other)
+                await self._open(other, host)
+
+    async def _open(self, sender: str, receiver: str) -> None:
+        for index in range(len(NodePorts._fields)):
+            target = (receiver, self.ports[receiver][index])
+
+            def forward(data: bytes, _from: tuple, to: tuple = target) -> None:
+                if frozenset((sender, receiver)) not in self.cut:
+                    with contextlib.suppress(OSError):
+                        self._senders[sender].sendto(data, to)
+
+            await open_udp(receiver, self.ports[sender][index], forward)
+        ports = self.ports
+        await asyncio.start_server(
+            lambda reader, writer: self._relay(sender, receiver, reader, writer),
+            receiver,
+            ports[sender].messages,
+        )
+
+    async def _relay(
+        self,
+        sender: str,
+        receiver: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Relay a connection; while the link is cut, it hangs."""
+        to = (receiver, self.ports[receiver].messages)
+        while frozenset((sender, receiver)) in self.cut:
+            await asyncio.sleep(0.05)
+        try:
+            other_reader, other_writer = await asyncio.open_connection(*to)
+        except OSError:
+            writer.transport.abort()
+            return
+        await asyncio.gather(_copy(reader, other_writer), _copy(other_reader, writer))
+
+
+async def _copy(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    with contextlib.suppress(OSError):
+        while data := await reader.read(65_536):
+            writer.write(data)
+            await writer.drain()
+    writer.close()
+
+
 class World:
-    """All machines of a case."""
+    """All machines of a case.
+
+    Attributes
+    ----------
+    links : Links or None
+        Proxies between the nodes; None if they reach each other directly.
+    zones : dict of str to str
+        Zone of each machine; `z1` by default.
+    """
 
     def __init__(self, folder: pathlib.Path, services: dict[str, int]) -> None:
         self.folder = folder
+        self.links: Links | None = None
+        self.zones: dict[str, str] = {}
         self.services = services
         self.record = Record(folder / "record.txt")
         self.store = Store(self.record)
@@ -633,6 +725,9 @@
         self, host: str, role: str, service: str = "", *, bootstrap: bool = True
     ) -> None:
         """Start a node with the command of the deploy file."""
+        if self.links is not None and host not in self.links.ports:
+            await self.links.add_node(host)
+            await open_udp(CONSUMER, self.links.ports[host].packets, self._deliver)
         self._roles[host] = (role, service)
         path = self._temp / f"{host}.json"
         path.write_text(json.dumps(self._make_settings(host, bootstrap=bootstrap)))
@@ -654,6 +749,12 @@
             )
         self.record.write("node starts", host=host, role=role)
 
+    def get_node_ports(self, host: str) -> NodePorts:
+        """Return the ports at which a node is reached."""
+        if self.links is not None:
+            return self.links.ports[host]
+        return NodePorts(self.ports["packets"], self.ports["messages"])
+
     async def restart_node(self, host: str) -> None:
         """Start a node's process again."""
         await self.start_node(host, *self._roles[host], bootstrap=False)
@@ -665,8 +766,9 @@
     def _make_settings(self, host: str, *, bootstrap: bool) -> dict:
         role, service = self._roles[host]
         is_agent = role == "agent"
+        ports = self.get_node_ports(host)
         listen = {
-            "packet_addr": f"{host}:{self.ports['packets']}",
+            "packet_addr": f"{host}:{ports.packets}",
             "ready": f"{host}:{self.ports['ready']}",
             "control": f"{host}:{self.ports['control']}",
         }
@@ -676,9 +778,9 @@
             "node": host,
             "role": role,
             "ip": host,
-            "zone": "z1",
-            "region": "r1",
-            "port_range": [self.ports["messages"], self.ports["messages"]],
+            "zone": self.zones.get(host, "z1"),
+            "region": f"region-of-{self.zones.get(host, 'z1')}",
+            "port_range": [ports.messages, ports.messages],
             "seeds": [f"{seed}:{self.ports['control']}" for seed in self._seeds],
             "bootstrap": bootstrap,
             "heartbeat_ms": 1200,
@@ -707,6 +809,19 @@
         """Ask a node whether it is ready."""
         return await call_http((host, self.ports["ready"]), "GET", "/-/ready") == 200
 
+    async def wait_out(self, host: str) -> None:
+        """Wait until the routers take a balancer out: it misses two checks."""
+        missed = 0
+        while missed < MISSED_CHECKS:
+            missed = 0 if await self.is_ready(host) else missed + 1
+            await asyncio.sleep(CHECK_INTERVAL_S)
+        self.record.write("routers take a balancer out", host=host)
+
+    def is_held(self, consumer: Consumer) -> bool:
+        """Return whether a living target holds a consumer's flow."""
+        key = consumer.source + consumer.target
+        return any(t.alive and key in t.flows for t in self.targets.values())
+
     async def wait_ready(self, *hosts: str) -> None:
         """Wait until nodes are ready."""
         async with asyncio.timeout(20.0):
