--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -38,6 +38,7 @@
 SYN_COPIES_S = (0.0, 0.2, 0.6)
 OPEN_LIMIT_S = 1.4
 HEARTBEAT_S = 1.2
+HISTORY_S = 20.0
 REPEAT_CALL_S = (0.03, 0.06, 0.12, 0.24)
 CHECK_INTERVAL_S = 0.5
 MISSED_CHECKS = 2
@@ -175,9 +176,18 @@
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
+class _Event(NamedTuple):
+    """A change in the store's history."""
+
+    revision: int
+    kind: str
+    body: dict
+    at: float
+
+
 class _StoreConnection:
-    def __init__(self, writer: asyncio.StreamWriter) -> None:
-        self.writer = writer
+    def __init__(self, writer: asyncio.StreamWriter, role: str) -> None:
+        self.writer, self.role = writer, role
         self.silent = False
 
 
@@ -188,8 +198,10 @@
         self.record = record
         self.revision = 0
         self.objects: dict[tuple[str, str], dict] = {}
-        self.events: list[tuple[int, str, dict]] = []
+        self.events: list[_Event] = []
         self.connections: set[_StoreConnection] = set()
+        self.turned_away: set[str] = set()
+        self.dropped_revision = 0
         self._changed = asyncio.Event()
 
     def write(self, kind: str, name: str, spec: object) -> None:
@@ -209,25 +221,54 @@
 
     def _add_event(self, kind: str, item: dict, *, deleted: bool) -> None:
         event = {"object": item, "deleted": deleted}
-        self.events.append((self.revision, kind, event))
+        self.events.append(_Event(self.revision, kind, event, time.monotonic()))
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def _drop_history(self) -> None:
+        """Forget changes that are older than the history that the store keeps."""
+        oldest = time.monotonic() - HISTORY_S
+        while self.events and self.events[0].at < oldest:
+            self.dropped_revision = self.events.pop(0).revision
+
+    def turn_away(self, *roles: str) -> None:
+        """Answer the calls of some nodes with 503, and serve all others.
+
+        Their waiting watches are cut; the operator is served all the time.
+        """
+        self.turned_away = set(roles)
+        self.record.write("store turns nodes away", roles=",".join(roles) or "none")
+        for connection in self.connections:
+            if connection.role in roles:
+                connection.writer.transport.abort()
+
     def silence_connections(self) -> int:
         """Have all open connections say nothing more; new ones work."""
         for connection in self.connections:
             connection.silent = True
         return len(self.connections)
 
-    async def serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    async def open(self, port: int, role: str) -> None:
+        """Listen at a port for the calls of one role."""
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await self._serve(reader, _StoreConnection(writer, role))
+
+        await asyncio.start_server(serve, STORE, port)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, connection: _StoreConnection
     ) -> None:
-        """Serve one connection."""
-        connection = _StoreConnection(writer)
+        writer = connection.writer
         self.connections.add(connection)
         try:
             while message := await _read_http(reader):
-                status, body = await self._answer(message)
+                if connection.role in self.turned_away:
+                    status, body = 503, {}
+                else:
+                    status, body = await self._answer(message)
                 if connection.silent:
                     self.record.write("store: answer lost", call=message[0])
                     continue
@@ -263,7 +304,14 @@
             return 200, answer | {"current_rev": self.revision}
         since, end = int(query["watch"]), time.monotonic() + int(query["wait_ms"]) / 1e3
         while True:
-            events = [e for rev, k, e in self.events if k == kind and rev > since]
+            self._drop_history()
+            if since < self.dropped_revision:
+                return 410, {}
+            events = [
+                event.body
+                for event in self.events
+                if event.kind == kind and event.revision > since
+            ]
             left = end - time.monotonic()
             if events or left <= 0:
                 return 200, {"events": events, "current_rev": self.revision}
@@ -469,7 +517,7 @@
         choose_balancer: Callable[[], str],
         *,
         requests: int = 1,
-        pause_s: float = 0.5,
+        pause_s: float | asyncio.Event = 0.5,
         deadline_s: float = 4.0,
     ) -> None:
         self.world, self.source = world, (CONSUMER, port)
@@ -497,9 +545,15 @@
             if self.answers >= self.requests and not self.outcome:
                 self._end("answered")
             elif not self.outcome:
-                await asyncio.sleep(self.pause_s)
+                await self._pause()
         return self.outcome
 
+    async def _pause(self) -> None:
+        if isinstance(self.pause_s, asyncio.Event):
+            await self.pause_s.wait()
+        else:
+            await asyncio.sleep(self.pause_s)
+
     async def _send_syns(self) -> None:
         self.world.record.write("SYN sent", port=self.source[1], to=self.target[1])
         for copy, at in enumerate(SYN_COPIES_S):
@@ -656,7 +710,7 @@
         self.record = Record(folder / "record.txt")
         self.store = Store(self.record)
         self.ports = dict(zip(PORT_NAMES, _find_ports(len(PORT_NAMES)), strict=True))
-        self.store_port = _find_ports(1)[0]
+        self.store_ports = dict(zip(("balancer", "agent"), _find_ports(2), strict=True))
         self.nodes: dict[str, asyncio.subprocess.Process] = {}
         self.targets: dict[str, Target] = {}
         self.consumers: dict[int, Consumer] = {}
@@ -672,8 +726,8 @@
 
     async def open(self) -> None:
         """Start the store and the consumers' socket."""
-        server = await asyncio.start_server(self.store.serve, STORE, self.store_port)
-        self._servers = [server]
+        for role, port in self.store_ports.items():
+            await self.store.open(port, role)
         await open_udp(CONSUMER, self.ports["packets"], self._deliver)
 
     def _deliver(self, data: bytes, _address: tuple) -> None:
@@ -689,7 +743,7 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
-    def write_manifest(self, routes: dict[int, str]) -> float:
+    def write_manifest(self, routes: dict[int, str], *, quiet: bool = False) -> float:
         """Write a manifest with a route for each port; return when."""
         self.version += 3
         spec = {
@@ -715,8 +769,16 @@
             "limits": {"idle_timeout_ms": 15000},
         }
         self.store.write("config", "main", spec)
-        ports = ",".join(map(str, routes))
-        self.record.write("manifest acknowledged", version=self.version, routes=ports)
+        if not quiet:
+            ports = ",".join(map(str, [*routes][:4])) + ",.." * (len(routes) > 4)
+            size = len(json.dumps(spec))
+            self.record.write(
+                "manifest acknowledged",
+                version=self.version,
+                routes=ports,
+                count=len(routes),
+                bytes=size,
+            )
         return self.record.now
 
     # Nodes
@@ -788,7 +850,7 @@
             "forwarding": "agent",
             "listen": listen,
             "bounds": {"flow_ttl_s": 60, "grace_s": 6},
-            "platform": {"addr": f"{STORE}:{self.store_port}", "forwarding": "objects"},
+            "platform": {"addr": f"{STORE}:{self.store_ports[role]}"},
         }
         if is_agent:
             settings["app"] = f"{host}:{self.ports['app']}"
