--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -434,6 +434,12 @@
                     break
             await asyncio.sleep(HEARTBEAT_S)
 
+    async def wait_for_heartbeat(self) -> None:
+        """Wait until the next heartbeat has been sent."""
+        serial = self.serial
+        while self.serial == serial:
+            await asyncio.sleep(0.01)
+
     async def drain(self) -> float | None:
         """Say `draining`; return when it was acknowledged, in seconds of the case."""
         self.state = "draining"
