--- a/review/5/run.py
+++ b/review/5/run.py
@@ -1,7 +1,7 @@
-"""An agent is stopped as planned again, soon after its restart.
+"""The store comes back from a copy; later a planned restart resets live flows.
 
-Two rolling restarts overlap, so that an agent is stopped a second time half a second
-after it was ready.  Its balancers hear nothing of the second stop.
+The copy is from before the report of a newly added agent was written.  Nobody writes it
+again.  After a planned restart of the balancer, that agent is unknown for good.
 """
 
 from __future__ import annotations
@@ -15,51 +15,45 @@
 
 from standins_2 import World, run_case
 
-BALANCERS = ("127.77.1.1", "127.77.1.2")
-AGENTS = ("127.77.2.1", "127.77.2.2")
+BALANCER = "127.77.1.1"
+FIRST, ADDED = "127.77.2.1", "127.77.2.2"
 PORT = 443
-RESTART_DELAY_S = 1.5
-"""Time between the end of a process and its next start."""
-AFTER_HEARTBEAT_S = 0.3
-"""Time from a heartbeat to the first stop; the target calls again every 1.2 s."""
-SOON_S = 0.5
-CALM_S = 6.0
-"""Time between the start of an agent and its next stop, with and without trouble."""
-
-
-async def restart(world: World, host: str) -> None:
-    """Stop a node as planned, and start it again after a short delay."""
-    await world.signal_node(host, signal.SIGTERM)
-    await asyncio.sleep(RESTART_DELAY_S)
-    await world.restart_node(host)
+COPY_AGE_S = 3.0
+AWAY_S = 1.5
+RESTART_DELAY_S = 0.5
+CONTACT_S = 4.0
 
 
 async def play(world: World, trouble: bool) -> bool:
     """Return whether FLOW was broken."""
-    world.set_seeds(list(BALANCERS))
+    world.set_seeds([BALANCER])
     world.write_manifest({PORT: "claims"})
-    for host in AGENTS:
-        await world.start_node(host, "agent", "claims")
-        await world.start_target(host, "claims")
-    for host in BALANCERS:
-        await world.start_node(host, "balancer")
-    await world.wait_ready(*BALANCERS)
-    await asyncio.sleep(5.0)
+    await world.start_node(BALANCER, "balancer")
+    await world.start_node(FIRST, "agent", "claims")
+    await world.start_target(FIRST, "claims")
+    await world.wait_ready(BALANCER)
+    await asyncio.sleep(6.0)
+    copy = world.store.make_copy()
+    await asyncio.sleep(0.5)
+    await world.start_node(ADDED, "agent", "claims", bootstrap=False)
+    await world.start_target(ADDED, "claims")
+    await asyncio.sleep(COPY_AGE_S - 0.5)
+    if trouble:
+        world.store.turn_away("balancer", "agent")
+        await asyncio.sleep(AWAY_S)
+        world.store.come_back(copy)
+        world.store.turn_away()
+    await asyncio.sleep(CONTACT_S + 4.0)
     flows = [
-        world.add_consumer(
-            PORT, lambda n=number: BALANCERS[n % 2], requests=8, pause_s=2.0
-        )
-        for number in range(8)
+        world.add_consumer(PORT, lambda: BALANCER, requests=14, pause_s=0.8)
+        for _ in range(12)
     ]
     running = [world.start_task(flow.run()) for flow in flows]
-    await asyncio.sleep(1.0)
+    await asyncio.sleep(1.5)
     assert all(flow.is_open and not flow.outcome for flow in flows)
-    await world.targets[AGENTS[0]].wait_for_heartbeat()
-    await asyncio.sleep(AFTER_HEARTBEAT_S)
-    await restart(world, AGENTS[0])
-    await world.wait_ready(AGENTS[0])
-    await asyncio.sleep(SOON_S if trouble else CALM_S)
-    await restart(world, AGENTS[0])
+    await world.signal_node(BALANCER, signal.SIGTERM)
+    await asyncio.sleep(RESTART_DELAY_S)
+    await world.restart_node(BALANCER)
     outcomes = await asyncio.gather(*running)
     world.record.write("judged", outcomes=outcomes)
     return any(f.outcome.startswith("reset") and world.is_held(f) for f in flows)
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -13,6 +13,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -42,6 +43,7 @@
 REPEAT_CALL_S = (0.03, 0.06, 0.12, 0.24)
 CHECK_INTERVAL_S = 0.5
 MISSED_CHECKS = 2
+PORT_RANGE = (12_000, 30_000)
 PORT_NAMES = ("packets", "messages", "ready", "control", "app", "outbound", "metrics")
 
 
@@ -197,6 +199,7 @@
     def __init__(self, record: Record) -> None:
         self.record = record
         self.revision = 0
+        self.era = 1
         self.objects: dict[tuple[str, str], dict] = {}
         self.events: list[_Event] = []
         self.connections: set[_StoreConnection] = set()
@@ -242,6 +245,25 @@
             if connection.role in roles:
                 connection.writer.transport.abort()
 
+    def make_copy(self) -> tuple[int, dict]:
+        """Return a copy of the system's objects, to come back from later."""
+        return self.revision, dict(self.objects)
+
+    def come_back(self, copy: tuple[int, dict]) -> None:
+        """Come back from a copy: what the system wrote since is gone.
+
+        Revisions go back.  What the operator wrote is written again.
+        """
+        written = self.objects.get(("config", "main"))
+        self.revision, self.objects = copy[0], dict(copy[1])
+        self.events, self.dropped_revision = [], copy[0]
+        self.era += 1
+        for connection in self.connections:
+            connection.writer.transport.abort()
+        if written and written != self.objects.get(("config", "main")):
+            self.write("config", "main", written["spec"])
+        self.record.write("store comes back from a copy", era=self.era)
+
     def silence_connections(self) -> int:
         """Have all open connections say nothing more; new ones work."""
         for connection in self.connections:
@@ -274,6 +296,7 @@
                     continue
                 content = json.dumps(body).encode()
                 head = f"HTTP/1.1 {status} -\r\nContent-Type: application/json\r\n"
+                head += f"Store-Era: {self.era}\r\n"
                 head += f"Content-Length: {len(content)}\r\n\r\n"
                 writer.write(head.encode() + content)
                 await writer.drain()
@@ -305,7 +328,7 @@
         since, end = int(query["watch"]), time.monotonic() + int(query["wait_ms"]) / 1e3
         while True:
             self._drop_history()
-            if since < self.dropped_revision:
+            if since < self.dropped_revision or since > self.revision:
                 return 410, {}
             events = [
                 event.body
@@ -350,6 +373,7 @@
     def __init__(self, world: World, host: str, service: str) -> None:
         self.world, self.host, self.service = world, host, service
         self.boot, self.serial, self.state = "", 0, "ready"
+        self.born = 0
         self.slots, self.work_s = 3, 0.03
         self.offered: dict[tuple, int] = {}
         self.flows: dict[tuple, dict] = {}
@@ -360,18 +384,18 @@
         self._server: asyncio.Server | None = None
         self._task: asyncio.Task | None = None
 
-    async def start(self, *, heartbeats: bool = True) -> None:
+    async def start(self) -> None:
         """Start a new boot."""
         self.world.boots += 1
         self.boot, self.serial, self.state = f"i-{self.world.boots:04x}", 0, "ready"
+        self.born = round(time.time() * 1000)
         self.offered, self.flows = {}, {}
         port = self.world.ports["app"]
         self._transport = await open_udp(self.host, port, self._receive)
         self._server = await asyncio.start_server(self._check, self.host, port)
         self.alive = True
         self.world.record.write("target starts", host=self.host, id=self.boot)
-        if heartbeats:
-            self._task = self.world.start_task(self._send_heartbeats())
+        self._task = self.world.start_task(self._send_heartbeats())
 
     def crash(self) -> None:
         """End without a word; all flows are forgotten."""
@@ -409,6 +433,7 @@
             "state": self.state,
             "cold_left_ms": 0,
             "seq": self.serial,
+            "born": self.born,
         }
         return f"/-/instances/{self.boot}", body
 
@@ -434,12 +459,6 @@
                     break
             await asyncio.sleep(HEARTBEAT_S)
 
-    async def wait_for_heartbeat(self) -> None:
-        """Wait until the next heartbeat has been sent."""
-        serial = self.serial
-        while self.serial == serial:
-            await asyncio.sleep(0.01)
-
     async def drain(self) -> float | None:
         """Say `draining`; return when it was acknowledged, in seconds of the case."""
         self.state = "draining"
@@ -749,7 +768,7 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
-    def write_manifest(self, routes: dict[int, str], *, quiet: bool = False) -> float:
+    def write_manifest(self, routes: dict[int, str]) -> float:
         """Write a manifest with a route for each port; return when."""
         self.version += 3
         spec = {
@@ -775,16 +794,8 @@
             "limits": {"idle_timeout_ms": 15000},
         }
         self.store.write("config", "main", spec)
-        if not quiet:
-            ports = ",".join(map(str, [*routes][:4])) + ",.." * (len(routes) > 4)
-            size = len(json.dumps(spec))
-            self.record.write(
-                "manifest acknowledged",
-                version=self.version,
-                routes=ports,
-                count=len(routes),
-                bytes=size,
-            )
+        ports = ",".join(map(str, routes))
+        self.record.write("manifest acknowledged", version=self.version, routes=ports)
         return self.record.now
 
     # Nodes
@@ -897,18 +908,12 @@
                 while not await self.is_ready(host):
                     await asyncio.sleep(0.05)
 
-    def read_log(self, host: str) -> list[dict]:
-        """Return the log records of a node."""
-        text = (self._temp / f"{host}.log").read_text()
-        lines = [line for line in text.splitlines() if line.startswith("{")]
-        return [json.loads(line) for line in lines]
-
     # Targets and consumers
 
-    async def start_target(self, host: str, service: str, **options) -> Target:
+    async def start_target(self, host: str, service: str) -> Target:
         """Start a target beside an agent."""
         self.targets[host] = Target(self, host, service)
-        await self.targets[host].start(**options)
+        await self.targets[host].start()
         return self.targets[host]
 
     def add_consumer(
@@ -935,18 +940,28 @@
 
 
 def _find_ports(count: int) -> list[int]:
-    """Return ports that are free on all loopback addresses, for TCP and UDP."""
+    """Return ports that are free on all loopback addresses, for TCP and UDP.
+
+    They are below the range from which the system takes ports of its own accord.
+    """
     found: list[int] = []
     while len(found) < count:
-        with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as dgram:
-            stream.bind(("0.0.0.0", 0))
-            port = stream.getsockname()[1]
-            with contextlib.suppress(OSError):
-                dgram.bind(("0.0.0.0", port))
-                found.append(port)
+        port = random.randrange(*PORT_RANGE)
+        if port not in found and _is_free(port):
+            found.append(port)
     return found
 
 
+def _is_free(port: int) -> bool:
+    with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as datagram:
+        try:
+            stream.bind(("0.0.0.0", port))
+            datagram.bind(("0.0.0.0", port))
+        except OSError:
+            return False
+    return True
+
+
 def run_case(
     file: str,
     services: dict[str, int],
