--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -35,6 +35,9 @@
 STORE = "127.77.8.1"
 CONSUMER = "127.77.9.1"
 ROUTE_HOST = "127.77.7.1"
+NODES = tuple(f"127.77.{group}.{number}" for group in (1, 2, 3) for number in (1, 2))
+HOSTS = (*NODES, STORE, CONSUMER)
+TIME_LIMIT_S = 110.0
 
 SYN_COPIES_S = (0.0, 0.2, 0.6)
 OPEN_LIMIT_S = 1.4
@@ -745,6 +748,8 @@
         self._roles: dict[str, tuple[str, str]] = {}
         self._seeds: list[str] = []
         self._tasks: set[asyncio.Task] = set()
+        self._starting: asyncio.Future | None = None
+        self._starting_host = ""
         self._temp = pathlib.Path(tempfile.mkdtemp(prefix="review-2-"))
         self.consumer_socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.consumer_socket.setblocking(False)
@@ -819,13 +824,16 @@
             "SHEDSILL_METRICS_PORT": str(self.ports["metrics"]),
         }
         with (self._temp / f"{host}.log").open("ab") as log:
-            self.nodes[host] = await asyncio.create_subprocess_exec(
+            starting = asyncio.create_subprocess_exec(
                 *("python3", "-S", "-m", "shedsill.platform", role),
                 cwd=ROOT,
                 env=env,
                 stdout=log,
                 stderr=log,
             )
+            self._starting = asyncio.ensure_future(starting)
+            self._starting_host = host
+            self.nodes[host] = await asyncio.shield(self._starting)
         self.record.write("node starts", host=host, role=role)
 
     def get_node_ports(self, host: str) -> NodePorts:
@@ -929,6 +937,8 @@
         """End all processes that were started, and remove the temporary folder."""
         for task in list(self._tasks):
             task.cancel()
+        if self._starting is not None:
+            self.nodes[self._starting_host] = await self._starting
         for node in self.nodes.values():
             if node.returncode is None:
                 node.kill()
@@ -940,7 +950,7 @@
 
 
 def _find_ports(count: int) -> list[int]:
-    """Return ports that are free on all loopback addresses, for TCP and UDP.
+    """Return ports that are free on all machines of the cases, for TCP and UDP.
 
     They are below the range from which the system takes ports of its own accord.
     """
@@ -953,12 +963,13 @@
 
 
 def _is_free(port: int) -> bool:
-    with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as datagram:
-        try:
-            stream.bind(("0.0.0.0", port))
-            datagram.bind(("0.0.0.0", port))
-        except OSError:
-            return False
+    for host in HOSTS:
+        with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as udp:
+            try:
+                stream.bind((host, port))
+                udp.bind((host, port))
+            except OSError:
+                return False
     return True
 
 
@@ -967,14 +978,20 @@
     services: dict[str, int],
     play: Callable[[World, bool], Awaitable[bool]],
 ) -> None:
-    """Play a case and exit: 1 if the rule was broken, 0 if it held, 2 otherwise."""
+    """Play a case and exit: 1 if the rule was broken, 0 if it held, 2 otherwise.
+
+    A case that gets SIGTERM, SIGINT or SIGHUP ends its processes and exits with 2.
+    """
 
     async def play_once() -> bool:
-        folder = pathlib.Path(file).resolve().parent
-        world = World(folder, services)
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        world = World(pathlib.Path(file).resolve().parent, services)
         try:
             await world.open()
-            async with asyncio.timeout(110):
+            async with asyncio.timeout(TIME_LIMIT_S):
                 broken = await play(world, os.environ.get("TROUBLE", "1") != "0")
             world.record.write("result", broken=broken, also=world.broken)
             return broken
@@ -983,7 +1000,7 @@
 
     try:
         broken = asyncio.run(play_once())
-    except Exception as error:
+    except BaseException as error:
         print(f"the case could not run: {error!r}", file=sys.stderr)
         sys.exit(2)
     print("the rule was broken" if broken else "the rule held")
